--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/config/Settings.java
@@ -0,0 +1,135 @@
+package io.hickorydrift.core.config;
+
+import io.hickorydrift.core.limit.RateLimit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+
+/**
+ * The typed view of all teams' settings at one configuration entry.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param entry configuration entry that the view stands for
+ * @param organisations organisations by name
+ * @param keys grants by digest of the key
+ * @param groups database groups by name
+ * @param routes routes by name
+ * @param slots number of slots by failure domain
+ * @param teamCredentials digests of operators' credentials by team
+ */
+public record Settings(
+    long entry,
+    SortedMap<String, Organisation> organisations,
+    Map<String, KeyGrant> keys,
+    SortedMap<String, Group> groups,
+    SortedMap<String, Route> routes,
+    SortedMap<String, Integer> slots,
+    Map<String, String> teamCredentials) {
+
+  /**
+   * An organisation.
+   *
+   * @param name its name
+   * @param team team whose subtree declares it
+   * @param limit its rate and burst across the fleet
+   */
+  public record Organisation(String name, String team, RateLimit limit) {}
+
+  /**
+   * A granted key.
+   *
+   * @param name name of the key, safe to log
+   * @param organisation organisation that requests with it run for
+   */
+  public record KeyGrant(String name, String organisation) {}
+
+  /**
+   * A target of a group.
+   *
+   * @param id its id
+   * @param address host and port
+   * @param failureDomain its failure domain
+   * @param connections connections that it takes from the whole fleet
+   */
+  public record Target(String id, String address, String failureDomain, int connections) {}
+
+  /**
+   * A database group.
+   *
+   * @param name its name
+   * @param homesPerDomain home instances in each failure domain that has a target of the group
+   * @param targets its targets
+   */
+  public record Group(String name, int homesPerDomain, List<Target> targets) {}
+
+  /** What a route does. */
+  public enum Access {
+    /** Reads. */
+    READ,
+    /** Single writes. */
+    WRITE,
+    /** Transactions of several statements. */
+    TRANSACTION
+  }
+
+  /**
+   * A route that callers name in the path.
+   *
+   * @param name its name
+   * @param team team whose subtree declares it
+   * @param group database group that it leads to
+   * @param access what it does
+   * @param openAs organisation that it runs for without a key, or null if a key is needed
+   * @param maxAgeMs accepted age of data if the caller states none, -1 for any
+   * @param deadlineMs how long a request may take if the caller states nothing
+   */
+  public record Route(
+      String name,
+      String team,
+      String group,
+      Access access,
+      String openAs,
+      long maxAgeMs,
+      long deadlineMs) {}
+
+  /** Returns the number of slots in all failure domains. */
+  public int slotCount() {
+    int count = 0;
+    for (int slotsInDomain : slots.values()) {
+      count += slotsInDomain;
+    }
+    return count;
+  }
+
+  /**
+   * Returns the fleet-wide number of the first slot of {@code failureDomain}, -1 if it has none.
+   */
+  public int firstSlot(String failureDomain) {
+    int first = 0;
+    for (Map.Entry<String, Integer> domain : slots.entrySet()) {
+      if (domain.getKey().equals(failureDomain)) {
+        return first;
+      }
+      first += domain.getValue();
+    }
+    return -1;
+  }
+
+  /** Returns the highest rate of all organisations, at least 1. */
+  public double highestRatePerSecond() {
+    double highest = 1;
+    for (Organisation organisation : organisations.values()) {
+      highest = Math.max(highest, organisation.limit().ratePerSecond());
+    }
+    return highest;
+  }
+
+  /** Returns all targets of all groups. */
+  public List<Target> targets() {
+    List<Target> targets = new ArrayList<>();
+    groups.values().forEach(group -> targets.addAll(group.targets()));
+    return targets;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** Result codes and the exception that carries them. */
+package io.hickorydrift.core.error;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
@@ -0,0 +1,289 @@
+package io.hickorydrift.core.failover;
+
+import io.hickorydrift.core.message.PrimaryNotice;
+import io.hickorydrift.core.message.Suspicion;
+import io.hickorydrift.core.message.TargetAnswer;
+import io.hickorydrift.core.message.TargetStatus;
+import io.hickorydrift.core.routing.GroupView;
+import io.hickorydrift.core.routing.TargetView;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Watches the primary of one group and, together with the group's other observers, replaces it.
+ *
+ * <p>Safety rests on the targets alone: a majority of them accepts the fence of a term that only
+ * this run owns before any target is promoted in it, and refuses every lower term from then on. An
+ * observer that was paused, cut off or slow can therefore do no harm; clocks only decide when to
+ * try.
+ *
+ * <p>Thread safety: confined to one thread.
+ */
+public final class FailoverMachine {
+  private static final int OBSERVERS_NEEDED = 2;
+
+  private final String self;
+  private final String failureDomain;
+  private final GroupView view;
+  private final FailoverTimes times;
+  private final PrimaryWatch watch = new PrimaryWatch();
+  private final Map<String, Long> suspectedAtNanos = new HashMap<>();
+  private List<String> observers = List.of();
+  private long reservedTerm;
+  private long watchedTerm;
+  private long nextProbeNanos = Long.MIN_VALUE;
+  private long suspectedSinceNanos;
+  private boolean suspecting;
+  private boolean reserving;
+  private Promotion promotion;
+  private long backOffUntilNanos = Long.MIN_VALUE;
+
+  /** An observer {@code self} in {@code failureDomain} of the group of {@code view}. */
+  public FailoverMachine(String self, String failureDomain, GroupView view, FailoverTimes times) {
+    this.self = self;
+    this.failureDomain = failureDomain;
+    this.view = view;
+    this.times = times;
+  }
+
+  /** Sets the group's live observers, ranked; this one is among them while it has the duty. */
+  public void setObservers(List<String> ranked) {
+    observers = List.copyOf(ranked);
+  }
+
+  /** Returns the term that this run owns for the next promotion, 0 for none. */
+  public long reservedTerm() {
+    return reservedTerm;
+  }
+
+  /** Returns whether this observer suspects the primary now. */
+  public boolean suspecting() {
+    return suspecting;
+  }
+
+  /** Moves time on. */
+  public List<FailoverAction> tick(long nowNanos) {
+    List<FailoverAction> actions = new ArrayList<>();
+    followTerm();
+    probe(nowNanos, actions);
+    updateSuspicion(nowNanos, actions);
+    if (promotion != null && nowNanos - promotion.startedNanos() > times.attemptNanos()) {
+      giveUpAttempt(nowNanos, actions);
+    }
+    if (promotion == null && mayPromote(nowNanos)) {
+      startPromotion(nowNanos, actions);
+    }
+    reserveIfNeeded(actions);
+    return actions;
+  }
+
+  /** A probe ended; {@code answer} is null if it failed. */
+  public List<FailoverAction> probed(
+      String target, TargetAnswer answer, boolean fresh, long nowNanos) {
+    followTerm();
+    if (target.equals(view.primary())) {
+      boolean healthy = answer != null && target.equals(answer.primary());
+      watch.probed(healthy, fresh);
+      if (!healthy) {
+        nextProbeNanos = nowNanos + (fresh ? times.freshRetryNanos() : 0);
+      }
+    }
+    return tick(nowNanos);
+  }
+
+  /** Another observer tells what it suspects. */
+  public List<FailoverAction> told(Suspicion suspicion, long nowNanos) {
+    if (suspicion.suspected() && suspicion.term() == view.term()) {
+      suspectedAtNanos.put(suspicion.observer(), nowNanos);
+    } else {
+      suspectedAtNanos.remove(suspicion.observer());
+    }
+    return tick(nowNanos);
+  }
+
+  /** The store gave this run a term of its own, or 0 if the try failed. */
+  public void reserved(long term) {
+    reserving = false;
+    if (term > reservedTerm) {
+      reservedTerm = term;
+    }
+  }
+
+  /** A fence was answered; {@code answer} is null if the exchange failed. */
+  public List<FailoverAction> fenced(String target, long term, TargetAnswer answer, long nowNanos) {
+    List<FailoverAction> actions = new ArrayList<>();
+    if (promotion == null || promotion.term() != term || answer == null) {
+      return actions;
+    }
+    if (answer.status() != TargetStatus.OK) {
+      abandonTerm(nowNanos);
+      return actions;
+    }
+    String chosen = promotion.fenced(target, answer.logged(), view);
+    if (chosen != null) {
+      promote(chosen, actions);
+    }
+    return actions;
+  }
+
+  /** A promotion was answered; {@code answer} is null if the exchange failed. */
+  public List<FailoverAction> promoted(
+      String target, long term, TargetAnswer answer, long nowNanos) {
+    List<FailoverAction> actions = new ArrayList<>();
+    if (promotion == null || promotion.term() != term) {
+      return actions;
+    }
+    promotion = null;
+    if (answer == null || answer.status() != TargetStatus.OK) {
+      backOffUntilNanos = nowNanos + times.freshRetryNanos();
+      return actions;
+    }
+    view.learnTerm(term, target);
+    followTerm();
+    actions.add(new FailoverAction.Publish(new PrimaryNotice(view.group(), term, target)));
+    reserveIfNeeded(actions);
+    return actions;
+  }
+
+  private void followTerm() {
+    if (view.term() == watchedTerm) {
+      return;
+    }
+    watchedTerm = view.term();
+    watch.reset();
+    suspecting = false;
+    suspectedAtNanos.clear();
+    if (promotion != null && promotion.term() < watchedTerm) {
+      promotion = null;
+    }
+  }
+
+  private void probe(long nowNanos, List<FailoverAction> actions) {
+    if (nextProbeNanos != Long.MIN_VALUE && nowNanos - nextProbeNanos < 0) {
+      return;
+    }
+    nextProbeNanos = nowNanos + times.probeIntervalNanos() + times.probeTimeoutNanos();
+    TargetView primary = view.target(view.primary());
+    if (primary != null && primary.heardWithin(times.probeIntervalNanos(), nowNanos)) {
+      // Other exchanges have just shown that it lives.
+      watch.probed(true, false);
+      nextProbeNanos = nowNanos + times.probeIntervalNanos();
+      return;
+    }
+    if (primary != null && !watch.suspects()) {
+      nextProbeNanos = nowNanos + times.probeIntervalNanos();
+      actions.add(new FailoverAction.Probe(view.primary(), watch.needsFreshProbe()));
+      return;
+    }
+    for (TargetView target : view.targets()) {
+      actions.add(new FailoverAction.Probe(target.id(), true));
+    }
+  }
+
+  private void updateSuspicion(long nowNanos, List<FailoverAction> actions) {
+    boolean suspects = watch.suspects() || view.primary() == null || primaryLeaves();
+    if (suspects && !suspecting) {
+      suspectedSinceNanos = nowNanos;
+    }
+    boolean changed = suspects != suspecting;
+    suspecting = suspects;
+    if (suspects) {
+      Long told = suspectedAtNanos.get(self);
+      if (changed || told == null || nowNanos - told > times.suspicionNanos() / 4) {
+        suspectedAtNanos.put(self, nowNanos);
+        actions.add(new FailoverAction.Tell(suspicion(true)));
+      }
+    } else if (changed) {
+      suspectedAtNanos.remove(self);
+      actions.add(new FailoverAction.Tell(suspicion(false)));
+    }
+  }
+
+  private boolean primaryLeaves() {
+    TargetView primary = view.target(view.primary());
+    if (primary == null || !primary.leaving()) {
+      return false;
+    }
+    for (TargetView target : view.targets()) {
+      if (!target.leaving()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Suspicion suspicion(boolean suspected) {
+    return new Suspicion(view.group(), view.term(), self, failureDomain, suspected);
+  }
+
+  private boolean mayPromote(long nowNanos) {
+    boolean backedOff = backOffUntilNanos != Long.MIN_VALUE && nowNanos - backOffUntilNanos < 0;
+    if (!suspecting || backedOff || reservedTerm <= view.term()) {
+      return false;
+    }
+    List<String> suspectors = new ArrayList<>();
+    for (String observer : observers) {
+      Long atNanos = suspectedAtNanos.get(observer);
+      if (atNanos != null && nowNanos - atNanos <= times.suspicionNanos()) {
+        suspectors.add(observer);
+      }
+    }
+    int needed = Math.min(OBSERVERS_NEEDED, observers.size());
+    int rank = suspectors.indexOf(self);
+    return rank >= 0
+        && suspectors.size() >= needed
+        && majorityReachable(nowNanos)
+        && nowNanos - suspectedSinceNanos >= rank * times.rankDelayNanos();
+  }
+
+  /**
+   * Returns whether enough targets answered lately for a fence to succeed. Without this, an
+   * instance that is cut off would fence the targets on its side for nothing, and they would turn
+   * away from a healthy primary once the cut heals.
+   */
+  private boolean majorityReachable(long nowNanos) {
+    long withinNanos = 2 * (times.probeIntervalNanos() + times.probeTimeoutNanos());
+    int reachable = 0;
+    for (TargetView target : view.targets()) {
+      reachable += target.heardWithin(withinNanos, nowNanos) ? 1 : 0;
+    }
+    return reachable >= view.majority();
+  }
+
+  private void startPromotion(long nowNanos, List<FailoverAction> actions) {
+    promotion = new Promotion(reservedTerm, nowNanos);
+    reservedTerm = 0;
+    for (TargetView target : view.targets()) {
+      actions.add(new FailoverAction.Fence(target.id(), promotion.term()));
+    }
+  }
+
+  private void promote(String chosen, List<FailoverAction> actions) {
+    actions.add(new FailoverAction.Promote(chosen, promotion.term()));
+  }
+
+  private void giveUpAttempt(long nowNanos, List<FailoverAction> actions) {
+    String chosen = promotion.settle(view);
+    if (chosen != null) {
+      promotion.extend(nowNanos);
+      promote(chosen, actions);
+      return;
+    }
+    abandonTerm(nowNanos);
+  }
+
+  private void abandonTerm(long nowNanos) {
+    promotion = null;
+    backOffUntilNanos = nowNanos + times.attemptNanos();
+  }
+
+  private void reserveIfNeeded(List<FailoverAction> actions) {
+    boolean onDuty = observers.contains(self);
+    if (onDuty && !reserving && promotion == null && reservedTerm <= view.term()) {
+      reserving = true;
+      actions.add(new FailoverAction.Reserve(view.term()));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverTimes.java
@@ -0,0 +1,27 @@
+package io.hickorydrift.core.failover;
+
+/**
+ * Times that the detection and the promotion go by.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param probeIntervalNanos between probes of a healthy primary
+ * @param probeTimeoutNanos after which a probe has failed
+ * @param freshRetryNanos between failed probes on fresh connections
+ * @param suspicionNanos how long another observer's suspicion counts
+ * @param rankDelayNanos how much longer each lower-ranked observer holds back
+ * @param attemptNanos after which an attempt to fence or promote is given up
+ */
+public record FailoverTimes(
+    long probeIntervalNanos,
+    long probeTimeoutNanos,
+    long freshRetryNanos,
+    long suspicionNanos,
+    long rankDelayNanos,
+    long attemptNanos) {
+  private static final long MS = 1_000_000L;
+
+  /** Times for failure domains a few milliseconds apart. */
+  public static final FailoverTimes STANDARD =
+      new FailoverTimes(200 * MS, 250 * MS, 100 * MS, 2_000 * MS, 300 * MS, 800 * MS);
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/flow/package-info.java
@@ -0,0 +1,2 @@
+/** The steps of one read, write or commit, as deterministic state machines. */
+package io.hickorydrift.core.flow;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/message/PeerType.java
@@ -0,0 +1,47 @@
+package io.hickorydrift.core.message;
+
+/**
+ * Kinds of message on a peer link, with their number on the wire.
+ */
+public enum PeerType {
+  HEARTBEAT(1, Heartbeat.class),
+
+  FORWARD_REQUEST(2, ForwardRequest.class),
+
+  FORWARD_ANSWER(3, ForwardAnswer.class),
+
+  GRANT_REQUEST(4, GrantRequest.class),
+
+  GRANT_ANSWER(5, GrantAnswer.class),
+
+  SUSPICION(6, Suspicion.class),
+
+  PRIMARY_NOTICE(7, PrimaryNotice.class),
+
+  CONFIG_REQUEST(8, ConfigRequest.class),
+
+  CONFIG_ENTRIES(9, ConfigEntries.class);
+
+  private final int number;
+
+  private final Class<? extends Record> type;
+
+  PeerType(int number, Class<? extends Record> type) {
+    this.number = number;
+    this.type = type;
+  }
+
+  /**
+   * Returns the number on the wire.
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns the record that carries it.
+   */
+  public Class<? extends Record> type() {
+    return type;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/placement/Homes.java
@@ -0,0 +1,55 @@
+package io.hickorydrift.core.placement;
+
+import io.hickorydrift.core.config.Settings;
+import io.hickorydrift.core.config.Settings.Group;
+import io.hickorydrift.core.config.Settings.Target;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * Places the homes of each database group on slots: the first slots by rendezvous hashing in each
+ * failure domain that has a target of the group. A domain that is cut off then still has a home
+ * next to its own target.
+ *
+ * <p>Invariant: a function of the settings alone, so that all instances agree and a target's
+ * connections can be divided between homes without talking.
+ *
+ * <p>Thread safety: stateless.
+ */
+public final class Homes {
+  private Homes() {}
+
+  /** Returns the fleet-wide numbers of the slots that are homes of {@code group}. */
+  public static List<Integer> slotsOf(Settings settings, Group group) {
+    SortedSet<String> domains = new TreeSet<>();
+    for (Target target : group.targets()) {
+      domains.add(target.failureDomain());
+    }
+    List<Integer> homes = new ArrayList<>();
+    for (String domain : domains) {
+      int first = settings.firstSlot(domain);
+      if (first >= 0) {
+        homes.addAll(best(group, first, settings.slots().get(domain)));
+      }
+    }
+    return homes;
+  }
+
+  private static List<Integer> best(Group group, int firstSlot, int count) {
+    List<Integer> slots = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      slots.add(firstSlot + i);
+    }
+    List<Integer> ranked = Rendezvous.rank(group.name(), slots);
+    return ranked.subList(0, Math.min(group.homesPerDomain(), ranked.size()));
+  }
+
+  /**
+   * Returns how many connections to {@code target} a home may use with {@code usable} of its slot.
+   */
+  public static int connections(Target target, int homes, double usable) {
+    return (int) (target.connections() * Math.min(1, usable) / Math.max(1, homes));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
@@ -0,0 +1,50 @@
+package io.hickorydrift.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Rendezvous hashing: ranks candidates for a key so that a candidate that comes or goes changes
+ * only the ranks it takes part in.
+ *
+ * <p>Thread safety: stateless.
+ */
+public final class Rendezvous {
+  private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
+  private static final long MIX_2 = 0x94d049bb133111ebL;
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private Rendezvous() {}
+
+  /** Returns the candidates, the best for {@code key} first. */
+  public static <T> List<T> rank(String key, Collection<T> candidates) {
+    List<T> ranked = new ArrayList<>(candidates);
+    long keyHash = hash(key);
+    ranked.sort(
+        Comparator.comparingLong((T candidate) -> weight(keyHash, candidate))
+            .reversed()
+            .thenComparing(Object::toString));
+    return ranked;
+  }
+
+  private static long weight(long keyHash, Object candidate) {
+    return mix(keyHash ^ mix(hash(candidate.toString())));
+  }
+
+  private static long hash(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return hash;
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * MIX_1;
+    mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of duties on instances and slots. */
+package io.hickorydrift.core.placement;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/position/package-info.java
@@ -0,0 +1,2 @@
+/** Order of log positions. */
+package io.hickorydrift.core.position;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Fair sharing of scarce connections between organisations. */
+package io.hickorydrift.core.queue;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/session/decoder/package-info.java
@@ -0,0 +1,2 @@
+/** Reads session tokens. */
+package io.hickorydrift.core.session.decoder;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/session/encoder/package-info.java
@@ -0,0 +1,2 @@
+/** Writes session tokens. */
+package io.hickorydrift.core.session.encoder;
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** What a session has to see, and the token that carries it. */
+package io.hickorydrift.core.session;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/FleetPlan.java
@@ -0,0 +1,247 @@
+package io.hickorydrift.proxy.bench;
+
+import io.hickorydrift.core.limit.SlotTimes;
+import io.hickorydrift.core.routing.FreshReplicaFirst;
+import io.hickorydrift.core.routing.TargetChooser;
+import io.hickorydrift.proxy.settings.KeyDigest;
+import io.hickorydrift.standin.target.TargetOptions;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a local fleet consists of.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param domains failure domains
+ * @param instances instances, spread over the domains in turn
+ * @param groups database groups
+ * @param targetsPerGroup targets of each group, one a domain in turn
+ * @param organisations organisations, each with one key
+ * @param ratePerSecond rate of each organisation
+ * @param burst burst of each organisation
+ * @param connections connections of each target
+ * @param connectMs time that a new connection to a target takes, in milliseconds
+ * @param replicationDelayMs delay of the log, in milliseconds
+ * @param applyLagMs further lag of replicas' reads, in milliseconds
+ * @param statementMs time that a statement takes, in milliseconds
+ * @param listLagMs lag of the platform's list, in milliseconds
+ * @param stopNoticeMs how long a stopping instance still accepts, in milliseconds
+ * @param chooser how reads choose targets
+ * @param slotTimes leases of slots
+ */
+public record FleetPlan(
+    List<String> domains,
+    int instances,
+    int groups,
+    int targetsPerGroup,
+    int organisations,
+    long ratePerSecond,
+    long burst,
+    int connections,
+    long connectMs,
+    long replicationDelayMs,
+    long applyLagMs,
+    long statementMs,
+    long listLagMs,
+    long stopNoticeMs,
+    TargetChooser chooser,
+    SlotTimes slotTimes) {
+
+  /** Team that declares organisations, keys and routes. */
+  public static final String TEAM = "portal";
+
+  /** Starts from three domains with one instance each and one group. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the id of a target. */
+  public static String targetId(int group, int target) {
+    return "t-" + group + "-" + target;
+  }
+
+  /** Returns the name of a group. */
+  public static String group(int group) {
+    return "group-" + group;
+  }
+
+  /** Returns the key of an organisation. */
+  public static String key(int organisation) {
+    return "local-key-" + organisation;
+  }
+
+  /** Returns the name of an organisation. */
+  public static String organisation(int organisation) {
+    return "org-" + organisation;
+  }
+
+  String domainOfInstance(int instance) {
+    return domains.get(instance % domains.size());
+  }
+
+  String domainOfTarget(int target) {
+    return domains.get(target % domains.size());
+  }
+
+  int slots() {
+    return instances;
+  }
+
+  TargetOptions target(String id) {
+    return TargetOptions.builder()
+        .id(id)
+        .maxConnections(connections)
+        .connectMs(connectMs)
+        .replicationDelayMs(replicationDelayMs)
+        .applyLagMs(applyLagMs)
+        .statementMs(statementMs)
+        .build();
+  }
+
+  /** Returns the declaration of the fleet's own team. */
+  public String fleetDeclaration(Map<String, String> targetAddresses) {
+    StringBuilder text = new StringBuilder();
+    for (int d = 0; d < domains.size(); d++) {
+      int count = instances / domains.size() + (d < instances % domains.size() ? 1 : 0);
+      if (count > 0) {
+        text.append("[slots ").append(domains.get(d)).append("]\ncount = ").append(count);
+        text.append("\n");
+      }
+    }
+    for (int g = 0; g < groups; g++) {
+      text.append("[group ").append(group(g)).append("]\nhomes_per_domain = 1\n");
+      for (int t = 0; t < targetsPerGroup; t++) {
+        String id = targetId(g, t);
+        text.append("[target ").append(id).append("]\ngroup = ").append(group(g));
+        text.append("\naddress = ").append(targetAddresses.get(id));
+        text.append("\nfailure_domain = ").append(domainOfTarget(t));
+        text.append("\nconnections = ").append(connections).append("\n");
+      }
+    }
+    return text.toString();
+  }
+
+  /** Returns the declaration of the team with organisations, keys and routes. */
+  public String teamDeclaration() {
+    StringBuilder text = new StringBuilder();
+    for (int o = 0; o < organisations; o++) {
+      text.append("[organisation ").append(organisation(o)).append("]\nrate_per_s = ");
+      text.append(ratePerSecond).append("\nburst = ").append(burst).append("\n");
+      text.append("[key k-").append(o).append("]\norganisation = ").append(organisation(o));
+      text.append("\ndigest = ").append(KeyDigest.of(key(o))).append("\n");
+    }
+    for (int g = 0; g < groups; g++) {
+      for (String access : List.of("read", "write", "transaction")) {
+        text.append("[route ").append(access).append('-').append(g).append("]\ngroup = ");
+        text.append(group(g)).append("\naccess = ").append(access);
+        text.append("\ndeadline_ms = 5000\n");
+      }
+    }
+    return text.toString();
+  }
+
+  /** Builds plans. Not thread safe. */
+  public static final class Builder {
+    private List<String> domains = List.of("d1", "d2", "d3");
+    private int instances = 3;
+    private int groups = 1;
+    private int targetsPerGroup = 3;
+    private int organisations = 2;
+    private long ratePerSecond = 100_000;
+    private long burst = 100_000;
+    private int connections = 20;
+    private long connectMs = 1;
+    private long replicationDelayMs;
+    private long applyLagMs;
+    private long statementMs;
+    private long listLagMs = 200;
+    private long stopNoticeMs = 300;
+    private TargetChooser chooser = new FreshReplicaFirst();
+    private SlotTimes slotTimes = SlotTimes.STANDARD;
+
+    /** Sets the failure domains. */
+    public Builder domains(List<String> domains) {
+      this.domains = List.copyOf(domains);
+      return this;
+    }
+
+    /** Sets the number of instances. */
+    public Builder instances(int instances) {
+      this.instances = instances;
+      return this;
+    }
+
+    /** Sets the number of groups. */
+    public Builder groups(int groups) {
+      this.groups = groups;
+      return this;
+    }
+
+    /** Sets the number of organisations. */
+    public Builder organisations(int organisations) {
+      this.organisations = organisations;
+      return this;
+    }
+
+    /** Sets rate and burst of each organisation. */
+    public Builder limit(long ratePerSecond, long burst) {
+      this.ratePerSecond = ratePerSecond;
+      this.burst = burst;
+      return this;
+    }
+
+    /** Sets the connections of each target and the time that a new one takes. */
+    public Builder connections(int connections, long connectMs) {
+      this.connections = connections;
+      this.connectMs = connectMs;
+      return this;
+    }
+
+    /** Sets the delay of the log and the further lag of replicas' reads, in milliseconds. */
+    public Builder lag(long replicationDelayMs, long applyLagMs) {
+      this.replicationDelayMs = replicationDelayMs;
+      this.applyLagMs = applyLagMs;
+      return this;
+    }
+
+    /** Sets the time that a statement takes, in milliseconds. */
+    public Builder statementMs(long statementMs) {
+      this.statementMs = statementMs;
+      return this;
+    }
+
+    /** Sets how reads choose targets. */
+    public Builder chooser(TargetChooser chooser) {
+      this.chooser = chooser;
+      return this;
+    }
+
+    /** Sets the leases of slots. */
+    public Builder slotTimes(SlotTimes slotTimes) {
+      this.slotTimes = slotTimes;
+      return this;
+    }
+
+    /** Returns the plan. */
+    public FleetPlan build() {
+      return new FleetPlan(
+          domains,
+          instances,
+          groups,
+          targetsPerGroup,
+          organisations,
+          ratePerSecond,
+          burst,
+          connections,
+          connectMs,
+          replicationDelayMs,
+          applyLagMs,
+          statementMs,
+          listLagMs,
+          stopNoticeMs,
+          chooser,
+          slotTimes);
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -0,0 +1,89 @@
+package io.hickorydrift.proxy.cli;
+
+import io.hickorydrift.core.error.ProxyException;
+import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.proxy.settings.SettingsException;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The one binary's entry point.
+ *
+ * <p>Thread safety: stateless.
+ */
+public final class Main {
+  private static final List<Command> COMMANDS =
+      List.of(
+          new ServeCommand(),
+          new CheckCommand(),
+          new DiffCommand(),
+          new ApplyCommand(),
+          new ExportCommand(),
+          new StatusCommand(),
+          new KeysCommand(),
+          new DemoCommand(),
+          new StandinCommand(),
+          new VersionCommand());
+
+  private Main() {}
+
+  /** Runs the command line and exits with its code. */
+  public static void main(String[] arguments) {
+    System.exit(run(Arrays.asList(arguments), System.out, System.err));
+  }
+
+  /** Runs the command line and returns its exit code. */
+  static int run(List<String> arguments, PrintStream out, PrintStream err) {
+    if (arguments.isEmpty() || arguments.get(0).equals("--help")) {
+      help(arguments.isEmpty() ? err : out);
+      return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.OK;
+    }
+    for (Command command : COMMANDS) {
+      if (command.name().equals(arguments.get(0))) {
+        return run(command, arguments.subList(1, arguments.size()), out, err);
+      }
+    }
+    err.println("hickorydrift: unknown command " + arguments.get(0));
+    help(err);
+    return ExitCode.USAGE;
+  }
+
+  private static int run(
+      Command command, List<String> arguments, PrintStream out, PrintStream err) {
+    try {
+      return command.run(arguments, out);
+    } catch (UsageException | SettingsException e) {
+      err.println("hickorydrift " + command.name() + ": " + e.getMessage());
+      return ExitCode.USAGE;
+    } catch (ProxyException e) {
+      err.println(
+          "hickorydrift " + command.name() + ": code " + e.code().number() + " " + e.getMessage());
+      return exitCode(e.code());
+    } catch (Exception e) {
+      err.println("hickorydrift " + command.name() + ": " + e);
+      return ExitCode.FAILED;
+    }
+  }
+
+  private static int exitCode(ResultCode code) {
+    switch (code) {
+      case SETTINGS_CONFLICT:
+        return ExitCode.CONFLICT;
+      case SETTINGS_UNKNOWN:
+        return ExitCode.UNKNOWN;
+      case BAD_SETTINGS:
+        return ExitCode.USAGE;
+      default:
+        return ExitCode.FAILED;
+    }
+  }
+
+  private static void help(PrintStream out) {
+    out.println("usage: hickorydrift COMMAND [OPTIONS]; COMMAND --help tells more");
+    for (Command command : COMMANDS) {
+      out.printf("  %-9s %s%n", command.name(), command.summary());
+    }
+    out.println("exit codes: 0 done, 1 failed, 2 usage or settings, 3 conflict, 4 unknown");
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line. */
+package io.hickorydrift.proxy.cli;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/AllowanceService.java
@@ -0,0 +1,111 @@
+package io.hickorydrift.proxy.control;
+
+import io.hickorydrift.core.config.Settings;
+import io.hickorydrift.core.config.Settings.Organisation;
+import io.hickorydrift.core.limit.AllowanceAction;
+import io.hickorydrift.core.limit.AllowanceLedger;
+import io.hickorydrift.core.limit.LimitSettings;
+import io.hickorydrift.core.limit.RateLimit;
+import io.hickorydrift.core.limit.SlotShare;
+import io.hickorydrift.core.message.GrantAnswer;
+import io.hickorydrift.core.message.GrantRequest;
+import io.hickorydrift.proxy.peer.PeerNetwork;
+import io.hickorydrift.proxy.runtime.Duty;
+import io.hickorydrift.proxy.runtime.TimerService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The allowance duty: admits requests against the organisations' rates and trades tokens with
+ * peers.
+ *
+ * <p>Thread safety: public methods may be called from any thread; state belongs to the duty.
+ */
+public final class AllowanceService implements AutoCloseable {
+  private static final int RING_SIZE = 32_768;
+  private static final long TICK_MS = 5;
+  private static final long RING_FULL_RETRY_MS = 50;
+
+  /** Learns whether a request is admitted. Called on the allowance duty; must not block. */
+  public interface Verdict {
+    /** The request is admitted. */
+    void admitted();
+
+    /** The request is over the rate; it may come back after {@code retryAfterMs}. */
+    void refused(long retryAfterMs);
+  }
+
+  private final Duty duty = new Duty("allowance", RING_SIZE);
+  private final AllowanceLedger ledger = new AllowanceLedger(LimitSettings.STANDARD);
+  private final PeerNetwork peers;
+  private final Map<Long, Verdict> waiting = new HashMap<>();
+  private long nextTicket = 1;
+
+  /** Starts the duty. */
+  public AllowanceService(PeerNetwork peers, TimerService timer) {
+    this.peers = peers;
+    timer.subscribe(duty, TICK_MS, nowNanos -> run(ledger.tick(nowNanos)));
+  }
+
+  /** Asks for one request of {@code organisation} to be admitted. */
+  public void request(String organisation, Verdict verdict) {
+    boolean taken =
+        duty.offer(
+            () -> {
+              long ticket = nextTicket++;
+              waiting.put(ticket, verdict);
+              run(ledger.request(organisation, ticket, System.nanoTime()));
+            });
+    if (!taken) {
+      verdict.refused(RING_FULL_RETRY_MS);
+    }
+  }
+
+  /** Brings limits up to date. */
+  public void setLimits(Settings settings) {
+    Map<String, RateLimit> limits = new HashMap<>();
+    for (Organisation organisation : settings.organisations().values()) {
+      limits.put(organisation.name(), organisation.limit());
+    }
+    duty.submit(() -> ledger.setLimits(limits, System.nanoTime()));
+  }
+
+  /** Brings this instance's share and the live peers up to date. */
+  public void setShare(SlotShare share, List<String> livePeers) {
+    duty.submit(
+        () -> {
+          ledger.setShare(share, System.nanoTime());
+          ledger.setPeers(livePeers);
+        });
+  }
+
+  /** A peer asks for tokens. */
+  public void asked(String peer, GrantRequest request) {
+    duty.offer(() -> run(ledger.asked(peer, request, System.nanoTime())));
+  }
+
+  /** A peer grants tokens. */
+  public void granted(String peer, GrantAnswer answer) {
+    duty.offer(() -> run(ledger.granted(peer, answer, System.nanoTime())));
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+
+  private void run(List<AllowanceAction> actions) {
+    for (AllowanceAction action : actions) {
+      if (action instanceof AllowanceAction.Admit admit) {
+        waiting.remove(admit.ticket()).admitted();
+      } else if (action instanceof AllowanceAction.Refuse refuse) {
+        waiting.remove(refuse.ticket()).refused(refuse.retryAfterMs());
+      } else if (action instanceof AllowanceAction.Ask ask) {
+        peers.send(ask.peer(), ask.request());
+      } else if (action instanceof AllowanceAction.Grant grant) {
+        peers.send(grant.peer(), grant.answer());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -0,0 +1,350 @@
+package io.hickorydrift.proxy.control;
+
+import io.hickorydrift.core.config.Settings;
+import io.hickorydrift.core.config.Settings.Target;
+import io.hickorydrift.core.limit.SlotTimes;
+import io.hickorydrift.core.membership.Membership;
+import io.hickorydrift.core.message.ConfigEntries;
+import io.hickorydrift.core.message.ConfigRequest;
+import io.hickorydrift.core.message.ForwardAnswer;
+import io.hickorydrift.core.message.ForwardRequest;
+import io.hickorydrift.core.message.GrantAnswer;
+import io.hickorydrift.core.message.GrantRequest;
+import io.hickorydrift.core.message.Heartbeat;
+import io.hickorydrift.core.message.ListedMachine;
+import io.hickorydrift.core.message.PrimaryNotice;
+import io.hickorydrift.core.message.Suspicion;
+import io.hickorydrift.core.placement.Rendezvous;
+import io.hickorydrift.core.session.TokenMac;
+import io.hickorydrift.proxy.home.HomeService;
+import io.hickorydrift.proxy.home.ObserverPort;
+import io.hickorydrift.proxy.peer.PeerListener;
+import io.hickorydrift.proxy.peer.PeerNetwork;
+import io.hickorydrift.proxy.platform.PlatformClient;
+import io.hickorydrift.proxy.runtime.Duty;
+import io.hickorydrift.proxy.runtime.TimerService;
+import io.hickorydrift.proxy.settings.InstanceSettings;
+import io.hickorydrift.proxy.target.TargetConnector;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+/**
+ * The control duty: membership, slots and settings, and the hub through which messages from peers
+ * reach the other duties.
+ *
+ * <p>Thread safety: public methods may be called from any thread; state belongs to the duty.
+ */
+public final class ControlService implements PeerListener, ObserverPort, AutoCloseable {
+  private static final int RING_SIZE = 16_384;
+  private static final long TICK_MS = 100;
+  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long LIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+  private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(10);
+  private static final long LIST_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final int RELAYS_PER_DOMAIN = 2;
+
+  private final InstanceSettings instance;
+  private final String run = UUID.randomUUID().toString();
+  private final Duty duty = new Duty("control", RING_SIZE);
+  private final PlatformClient platform;
+  private final PeerNetwork peers;
+  private final Membership membership = new Membership(LIVE_NANOS);
+  private final ConfigService config;
+  private final SlotService slots;
+  private final TermReservations reservations;
+  private final AllowanceService allowance;
+  private final HomeService home;
+  private final Router router;
+  private final Map<String, String> listedPeers = new HashMap<>();
+  private Set<String> leavingTargets = Set.of();
+  private boolean leaving;
+  private boolean listing;
+  private long heartbeatNanos = Long.MIN_VALUE;
+  private long listedNanos = Long.MIN_VALUE;
+  private volatile List<Heartbeat> livePeers = List.of();
+  private volatile int slot = -1;
+
+  /** Starts all duties of an instance but its HTTP side. */
+  public ControlService(
+      InstanceSettings instance,
+      PlatformClient platform,
+      TargetConnector connector,
+      HomePolicy policy,
+      TimerService timer)
+      throws IOException {
+    this.instance = instance;
+    this.platform = platform;
+    TokenMac secret = new TokenMac(instance.fleetSecret().getBytes());
+    peers = new PeerNetwork(instance.id(), address(instance.peersListen()), secret, this);
+    allowance = new AllowanceService(peers, timer);
+    reservations = new TermReservations(platform, timer, run);
+    home =
+        new HomeService(
+            instance.id(), instance.failureDomain(), connector, policy.chooser(), this, timer);
+    router = new Router(instance.id(), instance.failureDomain(), home, peers, timer);
+    slots =
+        new SlotService(
+            duty,
+            platform,
+            timer,
+            run,
+            instance.failureDomain(),
+            policy.slotTimes(),
+            this::publishShare);
+    config = new ConfigService(duty, platform, peers, timer, this::settingsChanged);
+    duty.submit(() -> peers.setPeers(instance.seeds()));
+    timer.subscribe(duty, TICK_MS, this::tick);
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /** Returns the settings part. */
+  public ConfigService config() {
+    return config;
+  }
+
+  /** Returns the allowance part. */
+  public AllowanceService allowance() {
+    return allowance;
+  }
+
+  /** Returns the routing part. */
+  public Router router() {
+    return router;
+  }
+
+  /** Returns the links to peers. */
+  public PeerNetwork peers() {
+    return peers;
+  }
+
+  /** Returns the fleet-wide number of this instance's slot, -1 for none. */
+  public int slot() {
+    return slot;
+  }
+
+  /** Returns what operators see. */
+  public InstanceStatus status(boolean ready) {
+    List<InstanceStatus.PeerStatus> known = new ArrayList<>();
+    for (Heartbeat peer : livePeers) {
+      known.add(
+          new InstanceStatus.PeerStatus(
+              peer.instance(),
+              peer.failureDomain(),
+              peer.configEntry(),
+              (int) peer.slot(),
+              peer.leaving()));
+    }
+    return new InstanceStatus(
+        instance.id(),
+        instance.failureDomain(),
+        ready,
+        config.settings().entry(),
+        slot,
+        slots.share().usable(System.nanoTime()),
+        TimeUnit.NANOSECONDS.toMillis(config.storeSilentNanos()),
+        known,
+        home.status());
+  }
+
+  /** Tells peers that this instance is stopping. */
+  public void leave() {
+    duty.submit(
+        () -> {
+          leaving = true;
+          heartbeatNanos = Long.MIN_VALUE;
+        });
+  }
+
+  /** Gives the slot back. */
+  public CompletableFuture<Void> releaseSlot() {
+    return slots.release();
+  }
+
+  @Override
+  public void received(String peer, Record message) {
+    if (message instanceof ForwardRequest request) {
+      router.forwarded(peer, request);
+    } else if (message instanceof ForwardAnswer answer) {
+      router.answered(answer);
+    } else if (message instanceof GrantRequest request) {
+      allowance.asked(peer, request);
+    } else if (message instanceof GrantAnswer answer) {
+      allowance.granted(peer, answer);
+    } else if (message instanceof Heartbeat heartbeat) {
+      duty.submit(() -> membership.heard(heartbeat, System.nanoTime()));
+      config.peerIsAt(peer, heartbeat.configEntry());
+    } else if (message instanceof Suspicion suspicion) {
+      home.suspicion(suspicion);
+    } else if (message instanceof PrimaryNotice notice) {
+      home.primary(notice);
+    } else if (message instanceof ConfigRequest request) {
+      config.requested(peer, request);
+    } else if (message instanceof ConfigEntries entries) {
+      config.received(entries);
+    }
+  }
+
+  @Override
+  public void lost(String peer) {
+    router.lost(peer, config.settings());
+  }
+
+  @Override
+  public void tell(List<String> observers, Suspicion suspicion) {
+    for (String observer : observers) {
+      peers.send(observer, suspicion);
+    }
+  }
+
+  @Override
+  public void publish(PrimaryNotice notice) {
+    for (String peer : peers.peers()) {
+      peers.send(peer, notice);
+    }
+    reservations.publish(notice);
+  }
+
+  @Override
+  public void reserve(String group, long aboveTerm, LongConsumer reserved) {
+    reservations.reserve(group, aboveTerm, reserved);
+  }
+
+  @Override
+  public void close() {
+    home.close();
+    allowance.close();
+    duty.close();
+    peers.close();
+  }
+
+  private void settingsChanged(Settings settings) {
+    allowance.setLimits(settings);
+    slots.settings(settings);
+    publishShare();
+  }
+
+  private void tick(long nowNanos) {
+    peers.closeSilent(nowNanos);
+    membership.forget(FORGET_NANOS, nowNanos);
+    livePeers = membership.live(nowNanos);
+    slots.tick(nowNanos);
+    if (heartbeatNanos == Long.MIN_VALUE || nowNanos - heartbeatNanos >= HEARTBEAT_NANOS) {
+      heartbeatNanos = nowNanos;
+      sendHeartbeat(nowNanos);
+    }
+    if (!listing && (listedNanos == Long.MIN_VALUE || nowNanos - listedNanos >= LIST_NANOS)) {
+      listedNanos = nowNanos;
+      listMachines();
+    }
+    config.setRelay(isRelay());
+    publishShare();
+  }
+
+  private void sendHeartbeat(long nowNanos) {
+    Heartbeat heartbeat =
+        Heartbeat.builder()
+            .instance(instance.id())
+            .run(run)
+            .failureDomain(instance.failureDomain())
+            .peerAddress(peers.address())
+            .slot(slots.slot(nowNanos))
+            .leaving(leaving)
+            .configEntry(config.settings().entry())
+            .build();
+    for (String peer : peers.peers()) {
+      peers.send(peer, heartbeat);
+    }
+  }
+
+  private boolean isRelay() {
+    List<String> inDomain = new ArrayList<>(List.of(instance.id()));
+    for (Heartbeat peer : livePeers) {
+      if (peer.failureDomain().equals(instance.failureDomain())) {
+        inDomain.add(peer.instance());
+      }
+    }
+    List<String> ranked = Rendezvous.rank(instance.failureDomain(), inDomain);
+    return ranked.subList(0, Math.min(RELAYS_PER_DOMAIN, ranked.size())).contains(instance.id());
+  }
+
+  private void listMachines() {
+    listing = true;
+    platform
+        .machines()
+        .whenComplete(
+            (machines, failure) ->
+                duty.submit(
+                    () -> {
+                      listing = false;
+                      if (failure == null) {
+                        listed(machines);
+                      }
+                    }));
+  }
+
+  private void listed(List<ListedMachine> machines) {
+    Set<String> targetIds = new HashSet<>();
+    for (Target target : config.settings().targets()) {
+      targetIds.add(target.id());
+    }
+    Set<String> newLeaving = new HashSet<>();
+    listedPeers.clear();
+    for (ListedMachine machine : machines) {
+      if (targetIds.contains(machine.id())) {
+        if (machine.leaving()) {
+          newLeaving.add(machine.id());
+        }
+      } else if (!machine.id().equals(instance.id())) {
+        listedPeers.put(machine.id(), machine.address());
+      }
+    }
+    leavingTargets = newLeaving;
+    Map<String, String> wanted = new HashMap<>(instance.seeds());
+    wanted.putAll(listedPeers);
+    wanted.remove(instance.id());
+    for (Heartbeat peer : livePeers) {
+      wanted.putIfAbsent(peer.instance(), peer.peerAddress());
+    }
+    peers.setPeers(wanted);
+  }
+
+  private void publishShare() {
+    long nowNanos = System.nanoTime();
+    slot = slots.slot(nowNanos);
+    Map<Integer, String> holders = new HashMap<>(membership.slotHolders(nowNanos));
+    List<String> live = new ArrayList<>();
+    for (Heartbeat peer : membership.live(nowNanos)) {
+      live.add(peer.instance());
+    }
+    if (slot >= 0 && !leaving) {
+      holders.put(slot, instance.id());
+    }
+    router.setSlotHolders(holders);
+    allowance.setShare(slots.share(), live);
+    home.update(config.settings(), slot, slots.share(), holders, leavingTargets);
+  }
+
+  /**
+   * Policies that tests and measurements vary.
+   *
+   * @param chooser how reads choose targets
+   * @param slotTimes leases of slots
+   */
+  public record HomePolicy(
+      io.hickorydrift.core.routing.TargetChooser chooser, SlotTimes slotTimes) {}
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** Control duty: membership, slots, settings and allowances. */
+package io.hickorydrift.proxy.control;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/GroupObserver.java
@@ -0,0 +1,148 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.core.failover.FailoverAction;
+import io.hickorydrift.core.failover.FailoverMachine;
+import io.hickorydrift.core.failover.FailoverTimes;
+import io.hickorydrift.core.message.Suspicion;
+import io.hickorydrift.core.message.TargetOp;
+import io.hickorydrift.core.message.TargetRequest;
+import io.hickorydrift.proxy.runtime.Duty;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Carries out what the failover machine of one group decides.
+ *
+ * <p>Thread safety: confined to the home duty.
+ */
+final class GroupObserver {
+  private static final long RESERVE_RETRY_MS = 500;
+
+  private final HomeGroup home;
+  private final FailoverMachine machine;
+  private final FailoverTimes times;
+  private final ObserverPort port;
+  private final Duty duty;
+  private List<String> observers = List.of();
+  private long retryReserveNanos = Long.MIN_VALUE;
+
+  GroupObserver(
+      String instance,
+      String failureDomain,
+      HomeGroup home,
+      FailoverTimes times,
+      ObserverPort port,
+      Duty duty) {
+    this.home = home;
+    this.times = times;
+    this.port = port;
+    this.duty = duty;
+    machine = new FailoverMachine(instance, failureDomain, home.view(), times);
+  }
+
+  void setObservers(List<String> live) {
+    observers = live;
+    machine.setObservers(live);
+  }
+
+  boolean suspecting() {
+    return machine.suspecting();
+  }
+
+  void tick(long nowNanos) {
+    if (retryReserveNanos != Long.MIN_VALUE && nowNanos - retryReserveNanos >= 0) {
+      retryReserveNanos = Long.MIN_VALUE;
+      machine.reserved(0);
+    }
+    run(machine.tick(nowNanos));
+  }
+
+  void told(Suspicion suspicion) {
+    run(machine.told(suspicion, System.nanoTime()));
+  }
+
+  private void run(List<FailoverAction> actions) {
+    for (FailoverAction action : actions) {
+      if (action instanceof FailoverAction.Probe probe) {
+        probe(probe);
+      } else if (action instanceof FailoverAction.Tell tell) {
+        port.tell(observers, tell.suspicion());
+      } else if (action instanceof FailoverAction.Fence fence) {
+        fence(fence);
+      } else if (action instanceof FailoverAction.Promote promote) {
+        promote(promote);
+      } else if (action instanceof FailoverAction.Publish publish) {
+        Logger.info(
+            "event=primary_changed group={} term={} primary={}",
+            publish.notice().group(),
+            publish.notice().term(),
+            publish.notice().primary());
+        port.publish(publish.notice());
+      } else if (action instanceof FailoverAction.Reserve reserve) {
+        port.reserve(home.group().name(), reserve.aboveTerm(), this::reserved);
+      }
+    }
+  }
+
+  private void reserved(long term) {
+    duty.submit(
+        () -> {
+          if (term > 0) {
+            machine.reserved(term);
+          } else {
+            retryReserveNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RESERVE_RETRY_MS);
+          }
+        });
+  }
+
+  private void probe(FailoverAction.Probe probe) {
+    TargetRequest request = request(TargetOp.STATUS, home.view().term());
+    home.channel(probe.target())
+        .exchange(
+            request,
+            probe.fresh(),
+            TimeUnit.NANOSECONDS.toMillis(times.probeTimeoutNanos()),
+            (answer, sentNanos) -> {
+              long nowNanos = System.nanoTime();
+              if (answer != null) {
+                home.observe(probe.target(), answer, sentNanos, nowNanos);
+              }
+              run(machine.probed(probe.target(), answer, probe.fresh(), nowNanos));
+            });
+  }
+
+  private void fence(FailoverAction.Fence fence) {
+    home.channel(fence.target())
+        .exchange(
+            request(TargetOp.FENCE, fence.term()),
+            true,
+            TimeUnit.NANOSECONDS.toMillis(times.attemptNanos()),
+            (answer, sentNanos) -> {
+              long nowNanos = System.nanoTime();
+              if (answer != null) {
+                home.observe(fence.target(), answer, sentNanos, nowNanos);
+              }
+              run(machine.fenced(fence.target(), fence.term(), answer, nowNanos));
+            });
+  }
+
+  private void promote(FailoverAction.Promote promote) {
+    home.channel(promote.target())
+        .exchange(
+            request(TargetOp.PROMOTE, promote.term()),
+            true,
+            TimeUnit.NANOSECONDS.toMillis(times.attemptNanos()),
+            (answer, sentNanos) -> {
+              long nowNanos = System.nanoTime();
+              if (answer != null) {
+                home.observe(promote.target(), answer, sentNanos, nowNanos);
+              }
+              run(machine.promoted(promote.target(), promote.term(), answer, nowNanos));
+            });
+  }
+
+  private static TargetRequest request(TargetOp op, long term) {
+    return TargetRequest.builder().op(op).term(term).build();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
@@ -0,0 +1,410 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.core.config.Settings.Group;
+import io.hickorydrift.core.config.Settings.Target;
+import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.flow.BeginFlow;
+import io.hickorydrift.core.flow.ExchangeFailure;
+import io.hickorydrift.core.flow.ReadDemand;
+import io.hickorydrift.core.flow.ReadFlow;
+import io.hickorydrift.core.flow.StatementFlow;
+import io.hickorydrift.core.flow.Step;
+import io.hickorydrift.core.flow.WriteDemand;
+import io.hickorydrift.core.flow.WriteFlow;
+import io.hickorydrift.core.message.ForwardAnswer;
+import io.hickorydrift.core.message.HomeOp;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.message.TargetAnswer;
+import io.hickorydrift.core.message.TargetOp;
+import io.hickorydrift.core.message.TargetRequest;
+import io.hickorydrift.core.message.TargetStatus;
+import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.routing.GroupView;
+import io.hickorydrift.core.routing.TargetChooser;
+import io.hickorydrift.core.routing.TargetView;
+import io.hickorydrift.proxy.runtime.Duty;
+import io.hickorydrift.proxy.target.TargetConnection;
+import io.hickorydrift.proxy.target.TargetConnector;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A database group at one of its homes: runs the flows of requests against the group's targets.
+ *
+ * <p>Invariant: each request is answered exactly once. Thread safety: confined to the home duty.
+ */
+final class HomeGroup {
+  private static final long IN_USE_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long AWAIT_MS = 50;
+  private static final long POLL_TIMEOUT_MS = 300;
+
+  private final Group group;
+  private final GroupView view;
+  private final TargetChooser chooser;
+  private final TransactionTable transactions;
+  private final Map<String, TargetPool> pools = new HashMap<>();
+  private final Map<String, ControlChannel> channels = new HashMap<>();
+  private final Map<String, Long> polledNanos = new HashMap<>();
+  private final Set<HomeRequest> waiting = new LinkedHashSet<>();
+  private Position awaited = Positions.START;
+  private long usedNanos = Long.MIN_VALUE;
+
+  HomeGroup(
+      Group group,
+      TargetConnector connector,
+      Duty duty,
+      TargetChooser chooser,
+      TransactionTable transactions) {
+    this.group = group;
+    this.chooser = chooser;
+    this.transactions = transactions;
+    List<String> ids = new ArrayList<>();
+    for (Target target : group.targets()) {
+      ids.add(target.id());
+      pools.put(target.id(), new TargetPool(target.address(), connector, duty));
+      channels.put(target.id(), new ControlChannel(target.address(), connector, duty));
+    }
+    view = new GroupView(group.name(), ids);
+  }
+
+  Group group() {
+    return group;
+  }
+
+  GroupView view() {
+    return view;
+  }
+
+  ControlChannel channel(String target) {
+    return channels.get(target);
+  }
+
+  int openConnections() {
+    int open = 0;
+    for (TargetPool pool : pools.values()) {
+      open += pool.open();
+    }
+    return open;
+  }
+
+  /** Sets how many connections this home may use to a target, its control connection included. */
+  void setConnections(String target, int connections) {
+    pools.get(target).setLimit(Math.max(0, connections - 1));
+  }
+
+  void serve(HomeRequest request, long nowNanos) {
+    usedNanos = nowNanos;
+    if (!prepare(request, nowNanos)) {
+      refuse(request, ResultCode.NO_TRANSACTION);
+      return;
+    }
+    take(request, request.flow.start(nowNanos), nowNanos);
+  }
+
+  /** Takes in what a target answered, and lets waiting requests go on. */
+  void observe(String target, TargetAnswer answer, long sentNanos, long nowNanos) {
+    view.observe(target, answer, sentNanos);
+    resumeWaiting(nowNanos, false);
+  }
+
+  void tick(long nowNanos) {
+    for (TargetPool pool : pools.values()) {
+      pool.tick(nowNanos);
+    }
+    resumeWaiting(nowNanos, true);
+    for (HomeTransaction idle : transactions.expire(group.name(), nowNanos)) {
+      endTransaction(idle, false);
+    }
+    poll(nowNanos);
+  }
+
+  void close() {
+    pools.values().forEach(TargetPool::close);
+    channels.values().forEach(ControlChannel::close);
+    for (HomeRequest request : new ArrayList<>(waiting)) {
+      take(request, request.flow.resume(request.deadlineNanos), request.deadlineNanos);
+    }
+  }
+
+  boolean idle() {
+    return waiting.isEmpty() && transactions.countIn(group.name()) == 0;
+  }
+
+  private boolean prepare(HomeRequest request, long nowNanos) {
+    HomeOp op = request.request.op();
+    if (op == HomeOp.READ) {
+      request.flow = new ReadFlow(view, chooser, readDemand(request, nowNanos));
+    } else if (op == HomeOp.WRITE) {
+      request.flow = WriteFlow.write(view, writeDemand(request, request.request.requestId()));
+    } else if (op == HomeOp.BEGIN) {
+      request.flow = new BeginFlow(view, request.request.organisation(), request.deadlineNanos);
+    } else {
+      return prepareInTransaction(request, nowNanos);
+    }
+    return true;
+  }
+
+  private boolean prepareInTransaction(HomeRequest request, long nowNanos) {
+    String id = request.request.transactionId();
+    HomeTransaction transaction =
+        transactions.find(id, request.request.organisation(), group.name());
+    if (transaction == null || transaction.busy) {
+      if (request.request.op() != HomeOp.COMMIT || transaction != null) {
+        return false;
+      }
+      // An earlier commit may have taken effect; its id tells.
+      request.flow = WriteFlow.settle(view, writeDemand(request, id));
+      return true;
+    }
+    transaction.lastUsedNanos = nowNanos;
+    transaction.busy = true;
+    request.transaction = transaction;
+    request.flow =
+        request.request.op() == HomeOp.COMMIT
+            ? WriteFlow.commit(view, writeDemand(request, id), transaction.target)
+            : new StatementFlow(transaction.target, statement(request));
+    return true;
+  }
+
+  private TargetRequest statement(HomeRequest request) {
+    boolean rollback = request.request.op() == HomeOp.ROLLBACK;
+    return TargetRequest.builder()
+        .op(rollback ? TargetOp.ROLLBACK : TargetOp.STATEMENT)
+        .term(view.term())
+        .organisation(request.request.organisation())
+        .sql(request.request.sql())
+        .params(request.request.params())
+        .build();
+  }
+
+  private static ReadDemand readDemand(HomeRequest request, long nowNanos) {
+    return new ReadDemand(
+        request.request.organisation(),
+        request.request.sql(),
+        request.request.params(),
+        request.request.sessionPosition(),
+        request.request.maxAgeMs(),
+        nowNanos,
+        request.deadlineNanos);
+  }
+
+  private static WriteDemand writeDemand(HomeRequest request, String requestId) {
+    boolean commit = request.request.op() == HomeOp.COMMIT;
+    return new WriteDemand(
+        request.request.organisation(),
+        commit ? null : request.request.sql(),
+        request.request.params(),
+        requestId,
+        request.deadlineNanos);
+  }
+
+  private void take(HomeRequest request, Step step, long nowNanos) {
+    if (step instanceof Step.Ask ask) {
+      waiting.remove(request);
+      ask(request, ask, nowNanos);
+    } else if (step instanceof Step.Wait wait) {
+      request.wakeNanos = wait.untilNanos();
+      waiting.add(request);
+    } else if (step instanceof Step.Finish finish) {
+      waiting.remove(request);
+      finish(request, finish.answer(), nowNanos);
+    }
+  }
+
+  private void ask(HomeRequest request, Step.Ask ask, long nowNanos) {
+    TargetPool pool = pools.get(ask.target());
+    TargetView target = view.target(ask.target());
+    target.begin();
+    TargetPool.Listener listener = listener(request, ask, target);
+    TargetOp op = ask.request().op();
+    if (op == TargetOp.BEGIN) {
+      borrowAndBegin(request, ask, pool, listener, nowNanos);
+    } else if (request.transaction != null && op != TargetOp.WRITE) {
+      pool.run(
+          request.transaction.connection,
+          request.request.organisation(),
+          ask.request(),
+          request.deadlineNanos,
+          listener,
+          false);
+    } else {
+      pool.exchange(
+          request.request.organisation(),
+          request.weight,
+          ask.request(),
+          request.deadlineNanos,
+          nowNanos,
+          listener);
+    }
+  }
+
+  private TargetPool.Listener listener(HomeRequest request, Step.Ask ask, TargetView target) {
+    return new TargetPool.Listener() {
+      @Override
+      public void answered(TargetAnswer answer, long sentNanos) {
+        target.end();
+        final long nowNanos = System.nanoTime();
+        leaveTransaction(request, ask.request().op(), answer.status() == TargetStatus.OK);
+        settleBegin(request, answer.status() == TargetStatus.OK);
+        view.observe(ask.target(), answer, sentNanos);
+        take(request, request.flow.answered(ask.target(), answer, sentNanos, nowNanos), nowNanos);
+        resumeWaiting(nowNanos, false);
+        if (answer.position() != null) {
+          awaited = Positions.later(awaited, answer.position());
+          poll(nowNanos);
+        }
+      }
+
+      @Override
+      public void failed(ExchangeFailure failure) {
+        target.end();
+        long nowNanos = System.nanoTime();
+        leaveTransaction(request, ask.request().op(), false);
+        settleBegin(request, false);
+        take(request, request.flow.failed(ask.target(), failure, nowNanos), nowNanos);
+      }
+    };
+  }
+
+  private void borrowAndBegin(
+      HomeRequest request,
+      Step.Ask ask,
+      TargetPool pool,
+      TargetPool.Listener listener,
+      long nowNanos) {
+    pool.borrow(
+        request.request.organisation(),
+        request.weight,
+        request.deadlineNanos,
+        nowNanos,
+        connection -> {
+          if (connection == null) {
+            listener.failed(ExchangeFailure.NOT_SENT);
+            return;
+          }
+          request.begun = connection;
+          request.begunOn = ask.target();
+          pool.run(
+              connection,
+              request.request.organisation(),
+              ask.request(),
+              request.deadlineNanos,
+              listener,
+              false);
+        },
+        () -> listener.failed(ExchangeFailure.QUEUE_FULL));
+  }
+
+  private void settleBegin(HomeRequest request, boolean begun) {
+    if (request.begun != null && !begun) {
+      TargetConnection connection = request.begun;
+      request.begun = null;
+      pools.get(request.begunOn).giveBack(connection, request.request.organisation());
+    }
+  }
+
+  private void leaveTransaction(HomeRequest request, TargetOp op, boolean succeeded) {
+    HomeTransaction transaction = request.transaction;
+    if (transaction == null) {
+      return;
+    }
+    transaction.busy = false;
+    boolean over = op == TargetOp.COMMIT || op == TargetOp.ROLLBACK;
+    if (over || !transaction.connection.usable()) {
+      endTransaction(transaction, succeeded);
+      request.transaction = null;
+    }
+  }
+
+  private void endTransaction(HomeTransaction transaction, boolean clean) {
+    if (!transactions.remove(transaction)) {
+      return;
+    }
+    if (!clean) {
+      transaction.connection.close();
+    }
+    pools.get(transaction.target).giveBack(transaction.connection, transaction.organisation);
+  }
+
+  private void finish(HomeRequest request, ForwardAnswer answer, long nowNanos) {
+    if (request.begun != null && answer.code() == ResultCode.OK.number()) {
+      HomeTransaction opened =
+          transactions.open(
+              group.name(),
+              request.request.organisation(),
+              request.begunOn,
+              request.begun,
+              nowNanos);
+      request.reply.accept(BeginFlow.named(answer, opened.id));
+      return;
+    }
+    request.reply.accept(answer);
+  }
+
+  private static void refuse(HomeRequest request, ResultCode code) {
+    request.reply.accept(
+        ForwardAnswer.builder().code(code.number()).ageMs(-1).message(code.meaning()).build());
+  }
+
+  private void resumeWaiting(long nowNanos, boolean onlyDue) {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    for (HomeRequest request : new ArrayList<>(waiting)) {
+      if (waiting.contains(request) && (!onlyDue || nowNanos - request.wakeNanos >= 0)) {
+        take(request, request.flow.resume(nowNanos), nowNanos);
+      }
+    }
+  }
+
+  /** Asks targets for their positions where no other exchange has told them lately. */
+  private void poll(long nowNanos) {
+    boolean inUse = usedNanos != Long.MIN_VALUE && nowNanos - usedNanos < IN_USE_NANOS;
+    boolean unconfirmed = awaited.term() == view.term() && !view.confirmed(awaited);
+    if (!inUse || view.primary() == null) {
+      return;
+    }
+    for (TargetView target : view.targets()) {
+      boolean primary = target.id().equals(view.primary());
+      boolean awaits = unconfirmed && !primary;
+      Long last = polledNanos.get(target.id());
+      boolean recent = last != null && nowNanos - last < POLL_NANOS;
+      boolean heard = target.heardWithin(POLL_NANOS, nowNanos);
+      if (awaits || (!recent && !(primary && heard))) {
+        pollTarget(target.id(), awaits, nowNanos);
+      }
+    }
+  }
+
+  private void pollTarget(String target, boolean awaits, long nowNanos) {
+    TargetRequest request =
+        TargetRequest.builder()
+            .op(awaits ? TargetOp.AWAIT : TargetOp.STATUS)
+            .term(view.term())
+            .position(awaits ? awaited : null)
+            .waitMs(awaits ? AWAIT_MS : 0)
+            .build();
+    boolean sent =
+        channels
+            .get(target)
+            .exchange(
+                request,
+                false,
+                POLL_TIMEOUT_MS,
+                (answer, sentNanos) -> {
+                  if (answer != null) {
+                    observe(target, answer, sentNanos, System.nanoTime());
+                    poll(System.nanoTime());
+                  }
+                });
+    if (sent) {
+      polledNanos.put(target, nowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeRequest.java
@@ -0,0 +1,32 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.core.flow.Flow;
+import io.hickorydrift.core.message.ForwardAnswer;
+import io.hickorydrift.core.message.ForwardRequest;
+import io.hickorydrift.proxy.target.TargetConnection;
+import java.util.function.Consumer;
+
+/**
+ * A request under way at this home.
+ *
+ * <p>Thread safety: confined to the home duty.
+ */
+final class HomeRequest {
+  final ForwardRequest request;
+  final long deadlineNanos;
+  final double weight;
+  final Consumer<ForwardAnswer> reply;
+  Flow flow;
+  HomeTransaction transaction;
+  TargetConnection begun;
+  String begunOn;
+  long wakeNanos;
+
+  HomeRequest(
+      ForwardRequest request, long deadlineNanos, double weight, Consumer<ForwardAnswer> reply) {
+    this.request = request;
+    this.deadlineNanos = deadlineNanos;
+    this.weight = weight;
+    this.reply = reply;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/ObserverPort.java
@@ -0,0 +1,22 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.core.message.PrimaryNotice;
+import io.hickorydrift.core.message.Suspicion;
+import java.util.List;
+import java.util.function.LongConsumer;
+
+/** What an observer needs of the rest of the instance. Called from the home duty; never blocks. */
+public interface ObserverPort {
+  /** Tells the other observers. */
+  void tell(List<String> observers, Suspicion suspicion);
+
+  /** Publishes a promotion to peers and to the store. */
+  void publish(PrimaryNotice notice);
+
+  /**
+   * Reserves a term above {@code aboveTerm} in the store.
+   *
+   * @param reserved gets the term, or 0 if the try failed; called on any thread
+   */
+  void reserve(String group, long aboveTerm, LongConsumer reserved);
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/TransactionTable.java
@@ -0,0 +1,79 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.proxy.target.TargetConnection;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The transactions open at this home. An id names the instance, the group and a random part, so
+ * that any instance can forward a statement and nobody can guess another's.
+ *
+ * <p>Thread safety: confined to the home duty.
+ */
+final class TransactionTable {
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final long LONGEST_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final String instance;
+  private final Map<String, HomeTransaction> open = new HashMap<>();
+
+  TransactionTable(String instance) {
+    this.instance = instance;
+  }
+
+  HomeTransaction open(
+      String group,
+      String organisation,
+      String target,
+      TargetConnection connection,
+      long nowNanos) {
+    String id = TransactionId.of(instance, group, UUID.randomUUID().toString());
+    HomeTransaction transaction =
+        new HomeTransaction(id, organisation, target, connection, nowNanos);
+    open.put(id, transaction);
+    return transaction;
+  }
+
+  /** Returns the transaction if it is open here and of this organisation and group, else null. */
+  HomeTransaction find(String id, String organisation, String group) {
+    HomeTransaction transaction = open.get(id);
+    boolean right =
+        transaction != null
+            && transaction.organisation.equals(organisation)
+            && TransactionId.group(id).equals(group);
+    return right ? transaction : null;
+  }
+
+  boolean remove(HomeTransaction transaction) {
+    return open.remove(transaction.id) != null;
+  }
+
+  int countIn(String group) {
+    int count = 0;
+    for (String id : open.keySet()) {
+      count += TransactionId.group(id).equals(group) ? 1 : 0;
+    }
+    return count;
+  }
+
+  int size() {
+    return open.size();
+  }
+
+  /** Returns the transactions of a group that were idle or open for too long. */
+  List<HomeTransaction> expire(String group, long nowNanos) {
+    List<HomeTransaction> expired = new ArrayList<>();
+    for (HomeTransaction transaction : open.values()) {
+      boolean idle = !transaction.busy && nowNanos - transaction.lastUsedNanos > IDLE_NANOS;
+      boolean old = !transaction.busy && nowNanos - transaction.beganNanos > LONGEST_NANOS;
+      if ((idle || old) && TransactionId.group(transaction.id).equals(group)) {
+        expired.add(transaction);
+      }
+    }
+    return expired;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers and operators. */
+package io.hickorydrift.proxy.intake;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics. */
+package io.hickorydrift.proxy.metrics;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between instances: TCP frames with MessagePack. */
+package io.hickorydrift.proxy.peer;
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Duty threads, the rings between them, and the timer service. */
+package io.hickorydrift.proxy.runtime;
--- /dev/null
+++ b/standin/src/main/java/io/hickorydrift/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** JSON over HTTP for the stand-ins. */
+package io.hickorydrift.standin.http;
--- /dev/null
+++ b/standin/src/main/java/io/hickorydrift/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform: key-value service and list of machines. */
+package io.hickorydrift.standin.platform;
