Count any answer as reach when deciding whether a fence can succeed

Cause: after several half-done promotions the targets stood at three different terms. Reach was counted only from answers in the highest term, so no majority was ever "reachable" and no primary was elected again.

Ruled out: lost reservations (retried each tick) and backing off (ends).

Conclusion: reach and proof of a term are two things and are kept apart.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
@@ -247,7 +247,7 @@
     long withinNanos = 2 * (times.probeIntervalNanos() + times.probeTimeoutNanos());
     int reachable = 0;
     for (TargetView target : view.targets()) {
-      reachable += target.heardWithin(withinNanos, nowNanos) ? 1 : 0;
+      reachable += target.reachedWithin(withinNanos, nowNanos) ? 1 : 0;
     }
     return reachable >= view.majority();
   }
--- a/core/src/main/java/io/hickorydrift/core/routing/GroupView.java
+++ b/core/src/main/java/io/hickorydrift/core/routing/GroupView.java
@@ -88,7 +88,7 @@
       return;
     }
     learnTerm(answer.term(), answer.primary());
-    target.report(answer.applied(), answer.logged());
+    target.report(answer.applied(), answer.logged(), sentNanos);
     if (answer.term() != term) {
       return;
     }
--- a/core/src/main/java/io/hickorydrift/core/routing/TargetView.java
+++ b/core/src/main/java/io/hickorydrift/core/routing/TargetView.java
@@ -19,6 +19,7 @@
   private Position applied = Positions.START;
   private Position logged = Positions.START;
   private long provenAtNanos = NEVER;
+  private long reachedAtNanos = NEVER;
   private long avoidUntilNanos = NEVER;
   private int inFlight;
 
@@ -76,7 +77,8 @@
     return avoidUntilNanos != NEVER && nowNanos - avoidUntilNanos < 0;
   }
 
-  void report(Position newApplied, Position newLogged) {
+  void report(Position newApplied, Position newLogged, long sentNanos) {
+    reachedAtNanos = sentNanos;
     applied = newApplied == null ? Positions.START : newApplied;
     logged = newLogged == null ? Positions.START : newLogged;
   }
@@ -91,6 +93,11 @@
     provenAtNanos = NEVER;
   }
 
+  /** Returns whether the target answered, in whatever term, within {@code withinNanos}. */
+  public boolean reachedWithin(long withinNanos, long nowNanos) {
+    return reachedAtNanos != NEVER && nowNanos - reachedAtNanos <= withinNanos;
+  }
+
   /** Returns whether the target answered in the current term within {@code withinNanos}. */
   public boolean heardWithin(long withinNanos, long nowNanos) {
     return proven() && nowNanos - provenAtNanos <= withinNanos;
