Give up exchanges at a former primary, and mend what fleet tests found

Frozen primary (SIGSTOP): a write under way there held its exchange for the whole deadline of 5 s, was answered "outcome unknown" though a new primary stood after about a second. Now the connections to a primary whose term is over are closed at once, and an exchange takes only a part of the time left (half for writes, a quarter for reads), so that a silent connection leaves time for another try under the same request id. 2. Configuration entries "from n, as many as there are" overflowed an int; the duty dropped the change and the operator's call timed out. 3. An instance that starts during an outage of the store was never linked back by its peers, since links came from the platform's list alone; now whoever is heard is linked too. 5.

Ruled out for 1: detection (the new primary was known in time).

Conclusion: a change of term is what ends waiting, not the caller's deadline.

--- a/core/src/main/java/io/hickorydrift/core/config/ConfigLog.java
+++ b/core/src/main/java/io/hickorydrift/core/config/ConfigLog.java
@@ -39,11 +39,9 @@
 
   /** Returns up to {@code most} entries from {@code first} on. */
   public List<ConfigEntry> from(long first, int most) {
-    int start = (int) Math.max(0, first - 1);
-    if (start >= entries.size()) {
-      return List.of();
-    }
-    return List.copyOf(entries.subList(start, Math.min(entries.size(), start + most)));
+    int start = (int) Math.min(entries.size(), Math.max(0, first - 1));
+    int count = Math.min(most, entries.size() - start);
+    return List.copyOf(entries.subList(start, start + count));
   }
 
   /** Applies those of {@code offered} that come next; returns whether any did. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
@@ -159,6 +159,15 @@
     }
   }
 
+  /** Has the platform list a target as leaving. */
+  public void listAsLeaving(String target) {
+    int number = Integer.parseInt(target.substring(target.lastIndexOf('-') + 1));
+    platform.list(
+        target,
+        new ListedMachine(
+            target, targets.get(target).address(), plan.domainOfTarget(number), true));
+  }
+
   /** Returns the platform. */
   public PlatformStandin platform() {
     return platform;
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -242,6 +242,7 @@
     peers.closeSilent(nowNanos);
     membership.forget(FORGET_NANOS, nowNanos);
     livePeers = membership.live(nowNanos);
+    linkPeers();
     slots.tick(nowNanos);
     if (heartbeatNanos == Long.MIN_VALUE || nowNanos - heartbeatNanos >= HEARTBEAT_NANOS) {
       heartbeatNanos = nowNanos;
@@ -314,12 +315,16 @@
       }
     }
     leavingTargets = newLeaving;
+  }
+
+  /** Keeps links to the seeds, to instances that the platform lists, and to all that are heard. */
+  private void linkPeers() {
     Map<String, String> wanted = new HashMap<>(instance.seeds());
     wanted.putAll(listedPeers);
-    wanted.remove(instance.id());
     for (Heartbeat peer : livePeers) {
-      wanted.putIfAbsent(peer.instance(), peer.peerAddress());
+      wanted.put(peer.instance(), peer.peerAddress());
     }
+    wanted.remove(instance.id());
     peers.setPeers(wanted);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
@@ -53,6 +53,8 @@
   private final Map<String, Long> polledNanos = new HashMap<>();
   private final Set<HomeRequest> waiting = new LinkedHashSet<>();
   private Position awaited = Positions.START;
+  private long watchedTerm;
+  private String watchedPrimary;
   private long usedNanos = Long.MIN_VALUE;
 
   HomeGroup(
@@ -110,10 +112,27 @@
   /** Takes in what a target answered, and lets waiting requests go on. */
   void observe(String target, TargetAnswer answer, long sentNanos, long nowNanos) {
     view.observe(target, answer, sentNanos);
+    retireFormerPrimary();
     resumeWaiting(nowNanos, false);
   }
 
+  /**
+   * Gives up what is under way at a primary whose term is over. It may never answer, and nothing it
+   * still does can be acknowledged.
+   */
+  private void retireFormerPrimary() {
+    if (view.term() > watchedTerm) {
+      if (watchedPrimary != null) {
+        pools.get(watchedPrimary).retireAll();
+      }
+      watchedTerm = view.term();
+      watchedPrimary = null;
+    }
+    watchedPrimary = view.primary();
+  }
+
   void tick(long nowNanos) {
+    retireFormerPrimary();
     for (TargetPool pool : pools.values()) {
       pool.tick(nowNanos);
     }
@@ -253,6 +272,7 @@
         leaveTransaction(request, ask.request().op(), answer.status() == TargetStatus.OK);
         settleBegin(request, answer.status() == TargetStatus.OK);
         view.observe(ask.target(), answer, sentNanos);
+        retireFormerPrimary();
         take(request, request.flow.answered(ask.target(), answer, sentNanos, nowNanos), nowNanos);
         resumeWaiting(nowNanos, false);
         if (answer.position() != null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.home;
 
+import io.hickorydrift.core.flow.AttemptTimeout;
 import io.hickorydrift.core.flow.ExchangeFailure;
 import io.hickorydrift.core.message.TargetAnswer;
 import io.hickorydrift.core.message.TargetRequest;
@@ -9,6 +10,8 @@
 import io.hickorydrift.proxy.target.TargetConnection;
 import io.hickorydrift.proxy.target.TargetConnector;
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -43,6 +46,7 @@
   private final TargetConnector connector;
   private final Duty duty;
   private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
+  private final Set<TargetConnection> lent = new HashSet<>();
   private final FairQueue<Waiting> queue = new FairQueue<>(1);
   private int limit;
   private int open;
@@ -77,6 +81,14 @@
     }
   }
 
+  /** Closes all connections, also those in use, whose exchanges then end without an answer. */
+  void retireAll() {
+    lent.forEach(TargetConnection::close);
+    while (!idle.isEmpty()) {
+      discard(idle.removeFirst());
+    }
+  }
+
   /** Closes all idle connections and refuses those who wait. */
   void close() {
     setLimit(0);
@@ -137,7 +149,8 @@
       Listener listener,
       boolean giveBack) {
     long sentNanos = System.nanoTime();
-    long timeoutMs = Math.max(1, (deadlineNanos - sentNanos) / NANOS_PER_MS);
+    long leftNanos = deadlineNanos - sentNanos;
+    long timeoutMs = Math.max(1, AttemptTimeout.nanos(request.op(), leftNanos) / NANOS_PER_MS);
     connection
         .exchange(request, timeoutMs)
         .whenComplete(
@@ -166,6 +179,7 @@
   /** Takes a lent connection back. */
   void giveBack(TargetConnection connection, String organisation) {
     queue.done(organisation);
+    lent.remove(connection);
     if (connection.usable() && open <= limit) {
       idle.addFirst(connection);
     } else {
@@ -196,7 +210,7 @@
       }
       TargetConnection connection = takeIdle();
       if (connection != null) {
-        next.lender.accept(connection);
+        lend(connection, next);
       } else {
         openFor(next);
       }
@@ -225,11 +239,18 @@
                       if (connection == null) {
                         open--;
                         queue.done(next.organisation);
+                        next.lender.accept(null);
+                      } else {
+                        lend(connection, next);
                       }
-                      next.lender.accept(connection);
                     }));
   }
 
+  private void lend(TargetConnection connection, Waiting next) {
+    lent.add(connection);
+    next.lender.accept(connection);
+  }
+
   private void discard(TargetConnection connection) {
     connection.close();
     open--;
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/FleetTest.java
@@ -0,0 +1,187 @@
+package io.hickorydrift.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.message.CallerAnswer;
+import io.hickorydrift.proxy.bench.CallerClient;
+import io.hickorydrift.proxy.bench.FleetPlan;
+import io.hickorydrift.proxy.bench.LocalFleet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Sessions, writes and transactions over real sockets, with lagging replicas. */
+class FleetTest {
+  private static final long LAG_MS = 60;
+
+  private LocalFleet fleet;
+  private CallerClient caller;
+
+  @BeforeEach
+  void start() {
+    fleet = LocalFleet.start(FleetPlan.builder().instances(3).lag(0, LAG_MS).build());
+    caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    CallerAnswer created =
+        caller.call(at(0), "write-0", "CREATE TABLE t (id VARCHAR PRIMARY KEY, n INT)");
+    assertThat(created.code()).as(created.message()).isZero();
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  private String at(int instance) {
+    return fleet.instances().get(instance).callersAddress();
+  }
+
+  private void insert(int instance, String id) {
+    CallerAnswer answer = caller.call(at(instance), "write-0", "INSERT INTO t VALUES (?, 0)", id);
+    assertThat(answer.code()).as(answer.message()).isZero();
+  }
+
+  private long count(CallerAnswer answer) {
+    assertThat(answer.code()).as(answer.message()).isZero();
+    return ((Number) ((List<?>) answer.rows().get(0)).get(0)).longValue();
+  }
+
+  @Test
+  void roamingSessionReadsItsOwnWrites() {
+    for (int i = 0; i < 30; i++) {
+      insert(i % 3, "r" + i);
+      CallerAnswer read = caller.call(at((i + 1) % 3), "read-0", "SELECT COUNT(*) FROM t");
+      assertThat(count(read)).isEqualTo(i + 1);
+    }
+  }
+
+  @Test
+  void readsOfAnAcceptedAgeGoToReplicas() {
+    CallerClient other = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    int onReplica = 0;
+    for (int i = 0; i < 100; i++) {
+      CallerAnswer read =
+          other
+              .call(at(i % 3), "read-0", null, CallerClient.body("SELECT 1", 1_000L, 2_000L))
+              .join();
+      assertThat(read.code()).as(read.message()).isZero();
+      assertThat(read.ageMs()).isNotNull().isLessThanOrEqualTo(1_000);
+      onReplica += "replica".equals(read.targetRole()) ? 1 : 0;
+    }
+    assertThat(onReplica).isGreaterThan(80);
+  }
+
+  @Test
+  void repeatedRequestIdTakesEffectOnce() {
+    String id = UUID.randomUUID().toString();
+    for (int i = 0; i < 6; i++) {
+      CallerAnswer answer =
+          caller
+              .call(
+                  at(i % 3),
+                  "write-0",
+                  id,
+                  CallerClient.body("INSERT INTO t VALUES (?, 1)", null, null, "once"))
+              .join();
+      assertThat(answer.code()).as(answer.message()).isZero();
+      assertThat(answer.duplicate()).isEqualTo(i > 0);
+      assertThat(answer.updateCount()).isEqualTo(1);
+    }
+    assertThat(count(caller.call(at(0), "read-0", "SELECT COUNT(*) FROM t"))).isEqualTo(1);
+  }
+
+  @Test
+  void transactionsOfTwoSessionsDoNotMix() {
+    CallerClient second = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    String one = caller.call(at(0), "transaction-0", null).transaction();
+    String two = second.call(at(1), "transaction-0", null).transaction();
+    assertThat(one).isNotNull().isNotEqualTo(two);
+    caller.call(at(2), "transactions/" + one + "/statement", "INSERT INTO t VALUES ('one', 1)");
+    second.call(at(2), "transactions/" + two + "/statement", "INSERT INTO t VALUES ('two', 1)");
+    assertThat(second.call(at(0), "transactions/" + two + "/rollback", null).code()).isZero();
+    CallerAnswer committed = caller.call(at(1), "transactions/" + one + "/commit", null);
+    assertThat(committed.code()).as(committed.message()).isZero();
+    CallerAnswer read = caller.call(at(2), "read-0", "SELECT id FROM t");
+    assertThat(read.rows().toString()).isEqualTo("[[one]]");
+  }
+
+  @Test
+  void transactionOfAnotherOrganisationIsNotFound() {
+    String id = caller.call(at(0), "transaction-0", null).transaction();
+    CallerClient stranger = new CallerClient(CallerClient.newHttp(), FleetPlan.key(1));
+    CallerAnswer answer =
+        stranger.call(at(0), "transactions/" + id + "/statement", "INSERT INTO t VALUES ('x', 1)");
+    assertThat(answer.code()).isEqualTo(ResultCode.NO_TRANSACTION.number());
+  }
+
+  @Test
+  void organisationsDoNotSeeEachOthersData() {
+    insert(0, "mine");
+    CallerClient stranger = new CallerClient(CallerClient.newHttp(), FleetPlan.key(1));
+    CallerAnswer answer = stranger.call(at(0), "read-0", "SELECT COUNT(*) FROM t");
+    assertThat(answer.code()).isEqualTo(ResultCode.STATEMENT_FAILED.number());
+  }
+
+  @Test
+  void noTargetSeesKeyOrSession() {
+    insert(0, "k");
+    caller.call(at(1), "read-0", "SELECT COUNT(*) FROM t");
+    List<String> received = new ArrayList<>();
+    fleet.targets().values().forEach(target -> received.addAll(target.received()));
+    assertThat(received).isNotEmpty();
+    assertThat(received)
+        .noneMatch(text -> text.contains(FleetPlan.key(0)) || text.contains(caller.session()));
+  }
+
+  @Test
+  void lostPrimaryIsReplacedWithoutLosingOrDoublingWrites() {
+    for (int i = 0; i < 5; i++) {
+      insert(i % 3, "before" + i);
+    }
+    String old = fleet.primary("group-0");
+    fleet.targets().get(old).close();
+    for (int i = 0; i < 5; i++) {
+      insert(i % 3, "after" + i);
+    }
+    assertThat(fleet.primary("group-0")).isNotEqualTo(old);
+    assertThat(count(caller.call(at(0), "read-0", "SELECT COUNT(*) FROM t"))).isEqualTo(10);
+  }
+
+  @Test
+  void leavingTargetGetsNoNewWork() {
+    String leaving = fleet.primary("group-0");
+    fleet.listAsLeaving(leaving);
+    fleet.await("another primary", () -> !leaving.equals(fleet.primary("group-0")));
+    fleet.await(
+        "known everywhere",
+        () ->
+            fleet.instances().stream()
+                .allMatch(
+                    instance ->
+                        instance.status().groups().get("group-0").leavingTargets().size() == 1));
+    for (int i = 0; i < 60; i++) {
+      insert(i % 3, "l" + i);
+      CallerAnswer read = caller.call(at(i % 3), "read-0", "SELECT 1");
+      assertThat(read.target()).isNotEqualTo(leaving);
+    }
+  }
+
+  @Test
+  void connectionsStayWithinEachTargetsLimit() {
+    List<CompletableFuture<CallerAnswer>> calls = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      CallerClient each = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+      calls.add(each.call(at(i % 3), "read-0", null, CallerClient.body("SELECT 1", null, 5_000L)));
+    }
+    calls.forEach(call -> assertThat(call.join().code()).isZero());
+    fleet
+        .targets()
+        .values()
+        .forEach(target -> assertThat(target.mostConnections()).isLessThanOrEqualTo(20));
+    fleet.targets().values().forEach(target -> assertThat(target.refusedConnections()).isZero());
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/KeysAndSettingsTest.java
@@ -0,0 +1,165 @@
+package io.hickorydrift.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.hickorydrift.core.error.ProxyException;
+import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.message.CallerAnswer;
+import io.hickorydrift.core.message.SectionChange;
+import io.hickorydrift.proxy.bench.CallerClient;
+import io.hickorydrift.proxy.bench.FleetPlan;
+import io.hickorydrift.proxy.bench.LocalFleet;
+import io.hickorydrift.proxy.cli.OperatorClient;
+import io.hickorydrift.proxy.intake.OperatorHandler.Change;
+import io.hickorydrift.proxy.settings.IniFile;
+import io.hickorydrift.proxy.settings.KeyDigest;
+import io.hickorydrift.standin.platform.PlatformFaults;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Keys, racing operators and settings in force everywhere, with faults of the store. */
+class KeysAndSettingsTest {
+  private static final long FEW_SECONDS_NANOS = 5_000_000_000L;
+
+  private LocalFleet fleet;
+  private FleetPlan plan;
+
+  @BeforeEach
+  void start() {
+    plan = FleetPlan.builder().instances(3).build();
+    fleet = LocalFleet.start(plan);
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  private String at(int instance) {
+    return fleet.instances().get(instance).callersAddress();
+  }
+
+  private boolean inForceEverywhere(long entry) {
+    return fleet.instances().stream()
+        .allMatch(instance -> instance.status().configEntry() >= entry);
+  }
+
+  private String withoutKey(int organisation) {
+    String section = "[key k-" + organisation + "]";
+    String text = plan.teamDeclaration();
+    int start = text.indexOf(section);
+    int end = text.indexOf("[", start + 1);
+    return text.substring(0, start) + text.substring(end);
+  }
+
+  @Test
+  void withdrawnKeyStopsForConnectedCallersAndOpenTransactions() {
+    CallerClient caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    String transaction = caller.call(at(0), "transaction-0", null).transaction();
+    assertThat(caller.call(at(1), "read-0", "SELECT 1").code()).isZero();
+
+    long startNanos = System.nanoTime();
+    long entry = fleet.apply(FleetPlan.TEAM, withoutKey(0));
+    fleet.await("in force", () -> inForceEverywhere(entry));
+
+    assertThat(System.nanoTime() - startNanos).isLessThan(FEW_SECONDS_NANOS);
+    for (int i = 0; i < 3; i++) {
+      CallerAnswer read = caller.call(at(i), "read-0", "SELECT 1");
+      assertThat(read.code()).isEqualTo(ResultCode.KEY_REFUSED.number());
+      CallerAnswer statement =
+          caller.call(at(i), "transactions/" + transaction + "/statement", "SELECT 1");
+      assertThat(statement.code()).isEqualTo(ResultCode.KEY_REFUSED.number());
+    }
+  }
+
+  @Test
+  void ofRacingOperatorsOneWinsAndTheOtherIsTold() {
+    OperatorClient first = fleet.operator(0);
+    OperatorClient second = fleet.operator(1);
+    long revision = first.subtree(FleetPlan.TEAM).revision();
+    AtomicInteger conflicts = new AtomicInteger();
+    List<CompletableFuture<Void>> racers = new ArrayList<>();
+    for (OperatorClient operator : List.of(first, second, fleet.operator(2))) {
+      Change change = change(revision, "race-" + racers.size(), 7);
+      racers.add(
+          CompletableFuture.runAsync(
+              () -> {
+                try {
+                  operator.change(FleetPlan.TEAM, change);
+                } catch (ProxyException e) {
+                  assertThat(e.code()).isEqualTo(ResultCode.SETTINGS_CONFLICT);
+                  conflicts.incrementAndGet();
+                }
+              }));
+    }
+    racers.forEach(CompletableFuture::join);
+    assertThat(conflicts.get()).isEqualTo(2);
+  }
+
+  private static Change change(long revision, String changeId, long rate) {
+    Map<String, String> values = Map.of("rate_per_s", String.valueOf(rate), "burst", "7");
+    return new Change(revision, changeId, List.of(new SectionChange("organisation org-0", values)));
+  }
+
+  @Test
+  void changeWhoseAnswerIsLostIsAcceptedOnce() {
+    long revision = fleet.operator(0).subtree(FleetPlan.TEAM).revision();
+    fleet.platform().setFaults(new PlatformFaults(false, 0, true));
+    long entry = fleet.operator(0).change(FleetPlan.TEAM, change(revision, "lost", 9)).entry();
+    fleet.platform().setFaults(PlatformFaults.NONE);
+    long again = fleet.operator(1).change(FleetPlan.TEAM, change(revision, "lost", 9)).entry();
+
+    assertThat(again).isEqualTo(entry);
+    fleet.await("in force", () -> inForceEverywhere(entry));
+    assertThat(fleet.instances().get(2).status().configEntry()).isEqualTo(entry);
+  }
+
+  @Test
+  void duringAnOutageOfTheStoreTrafficGoesOnAndPrimariesChange() {
+    fleet.platform().setFaults(new PlatformFaults(true, 0, false));
+    CallerClient caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    assertThat(caller.call(at(0), "write-0", "CREATE TABLE t (id INT)").code()).isZero();
+    String old = fleet.primary("group-0");
+    fleet.targets().get(old).close();
+    CallerAnswer after = caller.call(at(1), "write-0", "INSERT INTO t VALUES (1)");
+
+    assertThat(after.code()).as(after.message()).isZero();
+    assertThat(fleet.primary("group-0")).isNotEqualTo(old);
+    long revision = fleet.operator(0).subtree(FleetPlan.TEAM).revision();
+    assertThatThrownBy(() -> fleet.operator(0).change(FleetPlan.TEAM, change(revision, "out", 9)))
+        .isInstanceOf(ProxyException.class)
+        .matches(e -> ((ProxyException) e).code() == ResultCode.SETTINGS_UNKNOWN);
+  }
+
+  @Test
+  void teamsCredentialReachesItsOwnSubtreeOnly() {
+    String fleetText = IniFile.write(fleet.operator(0).subtree("fleet").sections());
+    String digest = KeyDigest.of("team-secret");
+    fleet.apply("fleet", fleetText + "[team portal]\ncredential = " + digest + "\n");
+    OperatorClient team =
+        new OperatorClient(fleet.instances().get(0).operatorsAddress(), "team-secret");
+
+    assertThat(team.subtree(FleetPlan.TEAM).sections()).isNotEmpty();
+    assertThatThrownBy(() -> team.subtree("fleet"))
+        .isInstanceOf(ProxyException.class)
+        .matches(e -> ((ProxyException) e).code() == ResultCode.OPERATOR_REFUSED);
+    assertThatThrownBy(() -> team.subtree("other")).isInstanceOf(ProxyException.class);
+  }
+
+  @Test
+  void instanceRestartedDuringAnOutageLearnsTheSettingsFromPeers() {
+    fleet.platform().setFaults(new PlatformFaults(true, 0, false));
+    Instance late = fleet.addInstance();
+    fleet.await("settings from peers", () -> late.status().configEntry() == 2);
+    CallerClient caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    CallerAnswer answer = caller.call(late.callersAddress(), "read-0", "SELECT 1");
+    assertThat(answer.code()).as(answer.message()).isZero();
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ChildProcess.java
@@ -0,0 +1,60 @@
+package io.hickorydrift.proxy.process;
+
+import io.hickorydrift.proxy.cli.Main;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The binary's main class in a process of its own, with the addresses that it prints. */
+final class ChildProcess implements AutoCloseable {
+  private final Process process;
+  private final Map<String, String> addresses = new HashMap<>();
+
+  /** Starts {@code arguments} and reads lines until {@code lastLine} is among them. */
+  ChildProcess(String lastLine, String... arguments) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(System.getProperty("java.home") + "/bin/java");
+    command.addAll(List.of("-Xmx256m", "-cp", System.getProperty("java.class.path")));
+    command.add(Main.class.getName());
+    command.addAll(List.of(arguments));
+    process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    BufferedReader lines =
+        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    while (!addresses.containsKey(lastLine)) {
+      String line = lines.readLine();
+      if (line == null) {
+        throw new IOException("process ended before it printed " + lastLine);
+      }
+      String[] parts = line.split("=", 2);
+      addresses.put(parts[0], parts.length < 2 ? "" : parts[1]);
+    }
+  }
+
+  String address(String name) {
+    return addresses.get(name);
+  }
+
+  /** Sends a signal by name, such as STOP, CONT or TERM. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+  }
+
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  int waitFor(long seconds) throws InterruptedException {
+    return process.waitFor(seconds, TimeUnit.SECONDS) ? process.exitValue() : -1;
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
