Test silent and cut connections between instances, peers and targets

A small relay between two ends loses bytes on the connections open now, or on all.

Conclusion: addresses that the platform lists or the seeds name go before those that peers tell of themselves, so that a published address is kept.

--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.function.BinaryOperator;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -39,10 +40,21 @@
   private final Map<String, TargetStandin> targets = new LinkedHashMap<>();
   private final List<Instance> instances = new ArrayList<>();
   private final FleetPlan plan;
+  private final BinaryOperator<String> published;
 
   /** Starts everything in {@code plan} and waits until each group has a primary. */
   public static LocalFleet start(FleetPlan plan) {
-    LocalFleet fleet = new LocalFleet(plan);
+    return start(plan, (id, address) -> address);
+  }
+
+  /**
+   * Starts everything in {@code plan}.
+   *
+   * @param published gives the address under which a target or instance is made known, from its id
+   *     and its own address
+   */
+  public static LocalFleet start(FleetPlan plan, BinaryOperator<String> published) {
+    LocalFleet fleet = new LocalFleet(plan, published);
     fleet.startTargets();
     for (int i = 0; i < plan.instances(); i++) {
       fleet.addInstance();
@@ -52,8 +64,9 @@
     return fleet;
   }
 
-  private LocalFleet(FleetPlan plan) {
+  private LocalFleet(FleetPlan plan, BinaryOperator<String> published) {
     this.plan = plan;
+    this.published = published;
     platform = new PlatformStandin(LOOPBACK, 0, plan.listLagMs()).start();
   }
 
@@ -77,7 +90,7 @@
     String id = "i-" + number;
     Map<String, String> seeds = new LinkedHashMap<>();
     for (Instance peer : instances) {
-      seeds.put(peer.id(), peer.peersAddress());
+      seeds.put(peer.id(), published.apply(peer.id(), peer.peersAddress()));
     }
     InstanceSettings settings =
         InstanceSettings.builder()
@@ -94,13 +107,18 @@
             .start();
     instances.add(instance);
     platform.list(
-        id, new ListedMachine(id, instance.peersAddress(), plan.domainOfInstance(number), false));
+        id,
+        new ListedMachine(
+            id,
+            published.apply(id, instance.peersAddress()),
+            plan.domainOfInstance(number),
+            false));
     return instance;
   }
 
   private void applyAll() {
     Map<String, String> addresses = new LinkedHashMap<>();
-    targets.forEach((id, target) -> addresses.put(id, target.address()));
+    targets.forEach((id, target) -> addresses.put(id, published.apply(id, target.address())));
     apply("fleet", plan.fleetDeclaration(addresses));
     apply(FleetPlan.TEAM, plan.teamDeclaration());
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -322,7 +322,7 @@
     Map<String, String> wanted = new HashMap<>(instance.seeds());
     wanted.putAll(listedPeers);
     for (Heartbeat peer : livePeers) {
-      wanted.put(peer.instance(), peer.peerAddress());
+      wanted.putIfAbsent(peer.instance(), peer.peerAddress());
     }
     wanted.remove(instance.id());
     peers.setPeers(wanted);
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/SilentConnectionTest.java
@@ -0,0 +1,126 @@
+package io.hickorydrift.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.message.CallerAnswer;
+import io.hickorydrift.proxy.bench.CallerClient;
+import io.hickorydrift.proxy.bench.FleetPlan;
+import io.hickorydrift.proxy.bench.LocalFleet;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections that go silent, and cuts, between instances and targets and between instances. */
+class SilentConnectionTest {
+  private static final long DEADLINE_MS = 4_000;
+
+  private final Map<String, TcpRelay> relays = new HashMap<>();
+  private LocalFleet fleet;
+  private CallerClient caller;
+
+  @BeforeEach
+  void start() {
+    fleet =
+        LocalFleet.start(
+            FleetPlan.builder().instances(3).lag(0, 20).build(),
+            (id, address) -> relayTo(id, address).address());
+    caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    assertThat(write(0, "CREATE TABLE t (id VARCHAR)").code()).isZero();
+  }
+
+  private TcpRelay relayTo(String id, String address) {
+    return relays.computeIfAbsent(
+        id,
+        name -> {
+          try {
+            return new TcpRelay(address);
+          } catch (IOException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fleet.close();
+    for (TcpRelay relay : relays.values()) {
+      relay.close();
+    }
+  }
+
+  private CallerAnswer write(int instance, String sql) {
+    return caller
+        .call(
+            fleet.instances().get(instance).callersAddress(),
+            "write-0",
+            null,
+            CallerClient.body(sql, null, DEADLINE_MS))
+        .join();
+  }
+
+  private CallerAnswer read(int instance, String sql) {
+    return caller
+        .call(
+            fleet.instances().get(instance).callersAddress(),
+            "read-0",
+            null,
+            CallerClient.body(sql, null, DEADLINE_MS))
+        .join();
+  }
+
+  private long term() {
+    return fleet.instances().get(0).status().groups().get("group-0").term();
+  }
+
+  @Test
+  void silentConnectionsToTargetsCostNoRequestAndNoPrimary() {
+    long term = term();
+    fleet.targets().keySet().forEach(id -> relays.get(id).silenceOpenConnections());
+    for (int i = 0; i < 6; i++) {
+      CallerAnswer written = write(i % 3, "INSERT INTO t VALUES ('r" + i + "')");
+      assertThat(written.code()).as(written.message()).isZero();
+      CallerAnswer seen = read((i + 1) % 3, "SELECT COUNT(*) FROM t");
+      assertThat(seen.code()).as(seen.message()).isZero();
+      assertThat(seen.rows().toString()).isEqualTo("[[" + (i + 1) + "]]");
+    }
+    assertThat(term()).as("no change of primary").isEqualTo(term);
+  }
+
+  @Test
+  void silentLinksBetweenInstancesAreReplaced() {
+    fleet.instances().forEach(instance -> relays.get(instance.id()).silenceOpenConnections());
+    for (int i = 0; i < 6; i++) {
+      CallerAnswer written = write(i % 3, "INSERT INTO t VALUES ('p" + i + "')");
+      assertThat(written.code()).as(written.message()).isZero();
+    }
+    assertThat(read(0, "SELECT COUNT(*) FROM t").rows().toString()).isEqualTo("[[6]]");
+  }
+
+  @Test
+  void primaryCutFromInstancesIsReplacedAndOldOneRejoins() {
+    String old = fleet.primary("group-0");
+    relays.get(old).cut();
+    CallerAnswer during = write(0, "INSERT INTO t VALUES ('during')");
+    assertThat(during.code()).as(during.message()).isZero();
+    assertThat(fleet.primary("group-0")).isNotEqualTo(old);
+    relays.get(old).heal();
+    for (int i = 0; i < 6; i++) {
+      assertThat(write(i % 3, "INSERT INTO t VALUES ('after')").code()).isZero();
+    }
+    assertThat(read(1, "SELECT COUNT(*) FROM t").rows().toString()).isEqualTo("[[7]]");
+  }
+
+  @Test
+  void instanceCutFromItsPeersServesItsGroupAlone() {
+    for (int i = 0; i < 3; i++) {
+      relays.get("i-" + i).cut();
+    }
+    for (int i = 0; i < 6; i++) {
+      CallerAnswer written = write(i % 3, "INSERT INTO t VALUES ('alone" + i + "')");
+      assertThat(written.code()).as(written.message()).isZero();
+    }
+  }
+}
