--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/config/ConfigTest.java
@@ -0,0 +1,102 @@
+package io.hickorydrift.core.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.message.ConfigEntry;
+import io.hickorydrift.core.message.SectionChange;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The log applies in one order and never goes back; declarations are checked. */
+class ConfigTest {
+  private static List<ConfigEntry> entries(Random random, int count) {
+    Map<String, Long> revisions = new TreeMap<>();
+    List<ConfigEntry> entries = new ArrayList<>();
+    for (int i = 1; i <= count; i++) {
+      String team = "team" + random.nextInt(3);
+      boolean outdated = random.nextInt(4) == 0;
+      long base = revisions.getOrDefault(team, 0L) - (outdated ? 1 : 0);
+      if (!outdated) {
+        revisions.put(team, (long) i);
+      }
+      boolean removes = random.nextInt(5) == 0;
+      String section = "organisation o" + random.nextInt(4);
+      Map<String, String> values = removes ? null : Map.of("rate_per_s", "" + i);
+      entries.add(
+          new ConfigEntry(i, team, base, "c" + i, List.of(new SectionChange(section, values))));
+    }
+    return entries;
+  }
+
+  @Property(tries = 200)
+  void anyOrderOfArrivalEndsInTheSameSettings(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<ConfigEntry> entries = entries(random, 40);
+    ConfigLog inOrder = new ConfigLog();
+    inOrder.apply(entries);
+
+    ConfigLog shuffled = new ConfigLog();
+    long applied = 0;
+    List<ConfigEntry> arriving = new ArrayList<>(entries);
+    while (shuffled.applied() < entries.size()) {
+      Collections.shuffle(arriving, random);
+      shuffled.apply(arriving.subList(0, random.nextInt(arriving.size() + 1)));
+      assertThat(shuffled.applied()).isGreaterThanOrEqualTo(applied);
+      applied = shuffled.applied();
+    }
+    assertThat(shuffled.teams()).isEqualTo(inOrder.teams());
+  }
+
+  @Property(tries = 100)
+  void changesOfOneTeamTouchNoOther(@ForAll long seed) {
+    ConfigLog log = new ConfigLog();
+    for (ConfigEntry entry : entries(new Random(seed), 30)) {
+      SortedMap<String, Team> before = log.teams();
+      log.apply(List.of(entry));
+      before.forEach(
+          (name, team) -> {
+            if (!name.equals(entry.team())) {
+              assertThat(log.team(name)).isEqualTo(team);
+            }
+          });
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "portal | organisation o | rate_per_s=0          | rate_per_s",
+        "portal | organisation o | rate_per_s=ten        | rate_per_s",
+        "portal | organisation o | rate_per_s=5,x=1      | x",
+        "portal | group g        | homes_per_domain=1    | only team fleet",
+        "portal | slots d        | count=1               | only team fleet",
+        "portal | team other     | credential=sha256:1   | credential",
+        "portal | key k          | organisation=other,digest=sha256:1 | organisation",
+        "portal | route r        | group=none,access=read | group",
+        "portal | route r        | group=none,access=fly  | access",
+        "portal | rout r         | a=b                   | expected a kind",
+        "fleet  | target t       | group=none,address=h:1,failure_domain=d,connections=1 | address",
+        "fleet  | target t       | group=none,address=1.2.3.4:1,failure_domain=d,connections=0 | connections"
+      })
+  void problemIsToldWithItsPlace(String team, String section, String values, String place) {
+    Map<String, String> parsed = new TreeMap<>();
+    for (String value : values.split(",")) {
+      parsed.put(value.split("=")[0], value.split("=")[1]);
+    }
+    SortedMap<String, Map<String, String>> sections = new TreeMap<>(Map.of(section, parsed));
+    SettingsReader reader = new SettingsReader();
+    reader.checkKinds(team, sections);
+    reader.read(1, new TreeMap<>(Map.of(team, new Team(1, sections))));
+    assertThat(reader.problems().toString()).contains(place).contains("[" + section + "]");
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/Instance.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/Instance.java
@@ -1,12 +1,11 @@
 package io.hickorydrift.proxy;
 
-import io.hickorydrift.core.limit.SlotTimes;
-import io.hickorydrift.core.routing.FreshReplicaFirst;
 import io.hickorydrift.core.session.TokenMac;
 import io.hickorydrift.core.session.decoder.SessionDecoder;
 import io.hickorydrift.core.session.encoder.SessionEncoder;
 import io.hickorydrift.proxy.control.ControlService;
 import io.hickorydrift.proxy.control.InstanceStatus;
+import io.hickorydrift.proxy.control.Policy;
 import io.hickorydrift.proxy.intake.CallerHandler;
 import io.hickorydrift.proxy.intake.OperatorHandler;
 import io.hickorydrift.proxy.metrics.Metrics;
@@ -53,11 +52,11 @@
 
   /** Prepares an instance with the standard policies. */
   public Instance(InstanceSettings settings) {
-    this(settings, new ControlService.HomePolicy(new FreshReplicaFirst(), SlotTimes.STANDARD));
+    this(settings, Policy.STANDARD);
   }
 
   /** Prepares an instance with {@code policy}. */
-  public Instance(InstanceSettings settings, ControlService.HomePolicy policy) {
+  public Instance(InstanceSettings settings, Policy policy) {
     this.settings = settings;
     startClient();
     platform = new PlatformClient(client, settings.platformAddress());
@@ -77,10 +76,10 @@
             new SessionEncoder(mac),
             new SessionDecoder(mac),
             metrics);
-    callerServer = server("callers", settings.callersListen(), callers);
+    callerServer = server("callers-" + settings.id(), settings.callersListen(), callers);
     operatorServer =
         server(
-            "operators",
+            "operators-" + settings.id(),
             settings.operatorsListen(),
             new OperatorHandler(
                 control.config(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/FleetPlan.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/FleetPlan.java
@@ -1,8 +1,6 @@
 package io.hickorydrift.proxy.bench;
 
-import io.hickorydrift.core.limit.SlotTimes;
-import io.hickorydrift.core.routing.FreshReplicaFirst;
-import io.hickorydrift.core.routing.TargetChooser;
+import io.hickorydrift.proxy.control.Policy;
 import io.hickorydrift.proxy.settings.KeyDigest;
 import io.hickorydrift.standin.target.TargetOptions;
 import java.util.List;
@@ -27,8 +25,7 @@
  * @param statementMs time that a statement takes, in milliseconds
  * @param listLagMs lag of the platform's list, in milliseconds
  * @param stopNoticeMs how long a stopping instance still accepts, in milliseconds
- * @param chooser how reads choose targets
- * @param slotTimes leases of slots
+ * @param policy policies of the instances
  */
 public record FleetPlan(
     List<String> domains,
@@ -45,8 +42,7 @@
     long statementMs,
     long listLagMs,
     long stopNoticeMs,
-    TargetChooser chooser,
-    SlotTimes slotTimes) {
+    Policy policy) {
 
   /** Team that declares organisations, keys and routes. */
   public static final String TEAM = "portal";
@@ -157,8 +153,7 @@
     private long statementMs;
     private long listLagMs = 200;
     private long stopNoticeMs = 300;
-    private TargetChooser chooser = new FreshReplicaFirst();
-    private SlotTimes slotTimes = SlotTimes.STANDARD;
+    private Policy policy = Policy.STANDARD;
 
     /** Sets the failure domains. */
     public Builder domains(List<String> domains) {
@@ -211,15 +206,9 @@
       return this;
     }
 
-    /** Sets how reads choose targets. */
-    public Builder chooser(TargetChooser chooser) {
-      this.chooser = chooser;
-      return this;
-    }
-
-    /** Sets the leases of slots. */
-    public Builder slotTimes(SlotTimes slotTimes) {
-      this.slotTimes = slotTimes;
+    /** Sets the policies of the instances. */
+    public Builder policy(Policy policy) {
+      this.policy = policy;
       return this;
     }
 
@@ -240,8 +229,7 @@
           statementMs,
           listLagMs,
           stopNoticeMs,
-          chooser,
-          slotTimes);
+          policy);
     }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/LocalFleet.java
@@ -4,7 +4,6 @@
 import io.hickorydrift.core.message.ListedMachine;
 import io.hickorydrift.proxy.Instance;
 import io.hickorydrift.proxy.cli.OperatorClient;
-import io.hickorydrift.proxy.control.ControlService;
 import io.hickorydrift.proxy.home.GroupStatus;
 import io.hickorydrift.proxy.intake.OperatorHandler.Change;
 import io.hickorydrift.proxy.intake.OperatorHandler.Subtree;
@@ -102,9 +101,7 @@
             .seeds(seeds)
             .stopNoticeMs(plan.stopNoticeMs())
             .build();
-    Instance instance =
-        new Instance(settings, new ControlService.HomePolicy(plan.chooser(), plan.slotTimes()))
-            .start();
+    Instance instance = new Instance(settings, plan.policy()).start();
     instances.add(instance);
     platform.list(
         id,
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/AllowanceService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/AllowanceService.java
@@ -36,14 +36,17 @@
     void refused(long retryAfterMs);
   }
 
-  private final Duty duty = new Duty("allowance", RING_SIZE);
-  private final AllowanceLedger ledger = new AllowanceLedger(LimitSettings.STANDARD);
+  private final Duty duty;
+  private final AllowanceLedger ledger;
   private final PeerNetwork peers;
   private final Map<Long, Verdict> waiting = new HashMap<>();
   private long nextTicket = 1;
 
   /** Starts the duty. */
-  public AllowanceService(PeerNetwork peers, TimerService timer) {
+  public AllowanceService(
+      String instance, LimitSettings settings, PeerNetwork peers, TimerService timer) {
+    duty = new Duty("allowance-" + instance, RING_SIZE);
+    ledger = new AllowanceLedger(settings);
     this.peers = peers;
     timer.subscribe(duty, TICK_MS, nowNanos -> run(ledger.tick(nowNanos)));
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
@@ -17,6 +17,7 @@
 import io.hickorydrift.proxy.runtime.Duty;
 import io.hickorydrift.proxy.runtime.Json;
 import io.hickorydrift.proxy.runtime.TimerService;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
@@ -45,6 +46,7 @@
   private final PlatformClient platform;
   private final PeerNetwork peers;
   private final TimerService timer;
+  private final long pollMs;
   private final Consumer<Settings> onChange;
   private final ConfigLog log = new ConfigLog();
   private boolean watching;
@@ -53,17 +55,22 @@
   private volatile SortedMap<String, Team> teams = new TreeMap<>();
   private volatile long storeAnsweredNanos = System.nanoTime();
 
-  /** Starts with no settings; {@code onChange} is called on the control duty. */
+  /**
+   * Starts with no settings; {@code onChange} is called on the control duty. With a {@code pollMs}
+   * above 0 the store is polled and not watched.
+   */
   public ConfigService(
       Duty duty,
       PlatformClient platform,
       PeerNetwork peers,
       TimerService timer,
+      long pollMs,
       Consumer<Settings> onChange) {
     this.duty = duty;
     this.platform = platform;
     this.peers = peers;
     this.timer = timer;
+    this.pollMs = pollMs;
     this.onChange = onChange;
     duty.submit(this::follow);
   }
@@ -147,7 +154,7 @@
     }
     watching = true;
     platform
-        .watch(key(log.applied() + 1), 0, WATCH_MS)
+        .watch(key(log.applied() + 1), 0, pollMs > 0 ? 0 : WATCH_MS)
         .whenComplete(
             (value, failure) ->
                 duty.submit(
@@ -166,6 +173,9 @@
     storeAnsweredNanos = System.nanoTime();
     if (value != null) {
       apply(List.of(Json.read(value.value(), ConfigEntry.class)));
+    } else if (pollMs > 0) {
+      timer.after(pollMs, () -> duty.submit(this::follow));
+      return;
     }
     follow();
   }
@@ -183,9 +193,11 @@
     }
     Logger.info("event=settings_in_force entry={}", log.applied());
     onChange.accept(settings);
-    ConfigEntries news = new ConfigEntries(log.from(before + 1, BATCH));
-    for (String peer : peers.peers()) {
-      peers.send(peer, news);
+    if (pollMs == 0) {
+      ConfigEntries news = new ConfigEntries(log.from(before + 1, BATCH));
+      for (String peer : peers.peers()) {
+        peers.send(peer, news);
+      }
     }
   }
 
@@ -286,7 +298,7 @@
     SettingsReader reader = new SettingsReader();
     reader.checkKinds(proposal.team, sections);
     Settings read = reader.read(log.applied() + 1, candidate);
-    List<SettingsProblem> problems = new java.util.ArrayList<>(reader.problems());
+    List<SettingsProblem> problems = new ArrayList<>(reader.problems());
     problems.removeIf(problem -> !problem.team().equals(proposal.team));
     if (!settings.slots().isEmpty() && !read.slots().equals(settings.slots())) {
       problems.add(
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -2,7 +2,6 @@
 
 import io.hickorydrift.core.config.Settings;
 import io.hickorydrift.core.config.Settings.Target;
-import io.hickorydrift.core.limit.SlotTimes;
 import io.hickorydrift.core.membership.Membership;
 import io.hickorydrift.core.message.ConfigEntries;
 import io.hickorydrift.core.message.ConfigRequest;
@@ -55,7 +54,7 @@
 
   private final InstanceSettings instance;
   private final String run = UUID.randomUUID().toString();
-  private final Duty duty = new Duty("control", RING_SIZE);
+  private final Duty duty;
   private final PlatformClient platform;
   private final PeerNetwork peers;
   private final Membership membership = new Membership(LIVE_NANOS);
@@ -79,18 +78,17 @@
       InstanceSettings instance,
       PlatformClient platform,
       TargetConnector connector,
-      HomePolicy policy,
+      Policy policy,
       TimerService timer)
       throws IOException {
     this.instance = instance;
     this.platform = platform;
+    duty = new Duty("control-" + instance.id(), RING_SIZE);
     TokenMac secret = new TokenMac(instance.fleetSecret().getBytes());
     peers = new PeerNetwork(instance.id(), address(instance.peersListen()), secret, this);
-    allowance = new AllowanceService(peers, timer);
+    allowance = new AllowanceService(instance.id(), policy.limits(), peers, timer);
     reservations = new TermReservations(platform, timer, run);
-    home =
-        new HomeService(
-            instance.id(), instance.failureDomain(), connector, policy.chooser(), this, timer);
+    home = new HomeService(instance.id(), instance.failureDomain(), connector, policy, this, timer);
     router = new Router(instance.id(), instance.failureDomain(), home, peers, timer);
     slots =
         new SlotService(
@@ -101,7 +99,9 @@
             instance.failureDomain(),
             policy.slotTimes(),
             this::publishShare);
-    config = new ConfigService(duty, platform, peers, timer, this::settingsChanged);
+    config =
+        new ConfigService(
+            duty, platform, peers, timer, policy.settingsPollMs(), this::settingsChanged);
     duty.submit(() -> peers.setPeers(instance.seeds()));
     timer.subscribe(duty, TICK_MS, this::tick);
   }
@@ -343,13 +343,4 @@
     allowance.setShare(slots.share(), live);
     home.update(config.settings(), slot, slots.share(), holders, leavingTargets);
   }
-
-  /**
-   * Policies that tests and measurements vary.
-   *
-   * @param chooser how reads choose targets
-   * @param slotTimes leases of slots
-   */
-  public record HomePolicy(
-      io.hickorydrift.core.routing.TargetChooser chooser, SlotTimes slotTimes) {}
 }
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/Policy.java
@@ -0,0 +1,63 @@
+package io.hickorydrift.proxy.control;
+
+import io.hickorydrift.core.failover.FailoverTimes;
+import io.hickorydrift.core.limit.LimitSettings;
+import io.hickorydrift.core.limit.SlotTimes;
+import io.hickorydrift.core.routing.FreshReplicaFirst;
+import io.hickorydrift.core.routing.TargetChooser;
+
+/**
+ * The policies that measurements compare; an instance that serves uses {@link #STANDARD}.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param chooser how reads choose targets
+ * @param slotTimes leases of slots
+ * @param limits how rates are spread over instances
+ * @param failover times of detection and promotion
+ * @param fairQueues whether connections are shared between organisations by weight, or first come
+ *     first served
+ * @param settingsPollMs how often settings are polled, in milliseconds; 0 watches them
+ */
+public record Policy(
+    TargetChooser chooser,
+    SlotTimes slotTimes,
+    LimitSettings limits,
+    FailoverTimes failover,
+    boolean fairQueues,
+    long settingsPollMs) {
+  /** The policies of an instance that serves. */
+  public static final Policy STANDARD =
+      new Policy(
+          new FreshReplicaFirst(),
+          SlotTimes.STANDARD,
+          LimitSettings.STANDARD,
+          FailoverTimes.STANDARD,
+          true,
+          0);
+
+  /** Returns these policies with another choice of targets. */
+  public Policy withChooser(TargetChooser other) {
+    return new Policy(other, slotTimes, limits, failover, fairQueues, settingsPollMs);
+  }
+
+  /** Returns these policies with another spread of rates. */
+  public Policy withLimits(LimitSettings other) {
+    return new Policy(chooser, slotTimes, other, failover, fairQueues, settingsPollMs);
+  }
+
+  /** Returns these policies with other times of detection and promotion. */
+  public Policy withFailover(FailoverTimes other) {
+    return new Policy(chooser, slotTimes, limits, other, fairQueues, settingsPollMs);
+  }
+
+  /** Returns these policies with one queue for all organisations. */
+  public Policy withoutFairQueues() {
+    return new Policy(chooser, slotTimes, limits, failover, false, settingsPollMs);
+  }
+
+  /** Returns these policies with settings polled every {@code pollMs}. */
+  public Policy withSettingsPoll(long pollMs) {
+    return new Policy(chooser, slotTimes, limits, failover, fairQueues, pollMs);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
@@ -22,6 +22,7 @@
 import io.hickorydrift.core.routing.GroupView;
 import io.hickorydrift.core.routing.TargetChooser;
 import io.hickorydrift.core.routing.TargetView;
+import io.hickorydrift.proxy.control.Policy;
 import io.hickorydrift.proxy.runtime.Duty;
 import io.hickorydrift.proxy.target.TargetConnection;
 import io.hickorydrift.proxy.target.TargetConnector;
@@ -61,15 +62,16 @@
       Group group,
       TargetConnector connector,
       Duty duty,
-      TargetChooser chooser,
+      Policy policy,
       TransactionTable transactions) {
     this.group = group;
-    this.chooser = chooser;
+    chooser = policy.chooser();
     this.transactions = transactions;
     List<String> ids = new ArrayList<>();
     for (Target target : group.targets()) {
       ids.add(target.id());
-      pools.put(target.id(), new TargetPool(target.address(), connector, duty));
+      pools.put(
+          target.id(), new TargetPool(target.address(), connector, duty, policy.fairQueues()));
       channels.put(target.id(), new ControlChannel(target.address(), connector, duty));
     }
     view = new GroupView(group.name(), ids);
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
@@ -5,15 +5,14 @@
 import io.hickorydrift.core.config.Settings.Organisation;
 import io.hickorydrift.core.config.Settings.Target;
 import io.hickorydrift.core.error.ResultCode;
-import io.hickorydrift.core.failover.FailoverTimes;
 import io.hickorydrift.core.limit.SlotShare;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
 import io.hickorydrift.core.message.PrimaryNotice;
 import io.hickorydrift.core.message.Suspicion;
 import io.hickorydrift.core.placement.Homes;
-import io.hickorydrift.core.routing.TargetChooser;
 import io.hickorydrift.core.routing.TargetView;
+import io.hickorydrift.proxy.control.Policy;
 import io.hickorydrift.proxy.runtime.Duty;
 import io.hickorydrift.proxy.runtime.TimerService;
 import io.hickorydrift.proxy.target.TargetConnector;
@@ -39,11 +38,11 @@
   private static final long TICK_MS = 5;
   private static final double MIN_WEIGHT = 0.05;
 
-  private final Duty duty = new Duty("home", RING_SIZE);
+  private final Duty duty;
   private final String instance;
   private final String failureDomain;
   private final TargetConnector connector;
-  private final TargetChooser chooser;
+  private final Policy policy;
   private final ObserverPort port;
   private final TransactionTable transactions;
   private final Map<String, HomeGroup> groups = new HashMap<>();
@@ -60,13 +59,14 @@
       String instance,
       String failureDomain,
       TargetConnector connector,
-      TargetChooser chooser,
+      Policy policy,
       ObserverPort port,
       TimerService timer) {
     this.instance = instance;
     this.failureDomain = failureDomain;
     this.connector = connector;
-    this.chooser = chooser;
+    this.policy = policy;
+    duty = new Duty("home-" + instance, RING_SIZE);
     this.port = port;
     transactions = new TransactionTable(instance);
     timer.subscribe(duty, TICK_MS, this::tick);
@@ -173,11 +173,10 @@
     for (Group group : wanted.values()) {
       HomeGroup home =
           groups.computeIfAbsent(
-              group.name(), name -> new HomeGroup(group, connector, duty, chooser, transactions));
+              group.name(), name -> new HomeGroup(group, connector, duty, policy, transactions));
       observers.computeIfAbsent(
           group.name(),
-          name ->
-              new GroupObserver(instance, failureDomain, home, FailoverTimes.STANDARD, port, duty));
+          name -> new GroupObserver(instance, failureDomain, home, policy.failover(), port, duty));
     }
     applyShares(System.nanoTime());
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
@@ -26,6 +26,7 @@
   private static final long NANOS_PER_MS = 1_000_000L;
   private static final double SERVICE_SMOOTHING = 0.1;
   private static final double FIRST_SERVICE_NANOS = 2e6;
+  private static final String SHARED_LANE = "";
   private static final double IN_FLIGHT_BOUND = 0.75;
 
   /** What becomes of one exchange. */
@@ -45,6 +46,7 @@
   private final String address;
   private final TargetConnector connector;
   private final Duty duty;
+  private final boolean fair;
   private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
   private final Set<TargetConnection> lent = new HashSet<>();
   private final FairQueue<Waiting> queue = new FairQueue<>(1);
@@ -52,10 +54,11 @@
   private int open;
   private double serviceNanos = FIRST_SERVICE_NANOS;
 
-  TargetPool(String address, TargetConnector connector, Duty duty) {
+  TargetPool(String address, TargetConnector connector, Duty duty, boolean fair) {
     this.address = address;
     this.connector = connector;
     this.duty = duty;
+    this.fair = fair;
   }
 
   String address() {
@@ -74,7 +77,8 @@
   void setLimit(int newLimit) {
     if (newLimit != limit) {
       limit = newLimit;
-      queue.setMaxInFlight((int) Math.max(1, Math.ceil(newLimit * IN_FLIGHT_BOUND)));
+      queue.setMaxInFlight(
+          fair ? (int) Math.max(1, Math.ceil(newLimit * IN_FLIGHT_BOUND)) : newLimit);
     }
     while (open > limit && !idle.isEmpty()) {
       discard(idle.removeFirst());
@@ -131,12 +135,14 @@
       long nowNanos,
       Lender lender,
       Runnable onFull) {
-    double waitNanos = limit == 0 ? 0 : (queue.aheadOf(organisation) + 1) * serviceNanos / limit;
+    double waitNanos =
+        limit == 0 ? 0 : (queue.aheadOf(lane(organisation)) + 1) * serviceNanos / limit;
     if (nowNanos + waitNanos > deadlineNanos) {
       onFull.run();
       return;
     }
-    queue.offer(organisation, weight, new Waiting(organisation, deadlineNanos, lender));
+    queue.offer(
+        lane(organisation), fair ? weight : 1, new Waiting(organisation, deadlineNanos, lender));
     dispatch();
   }
 
@@ -178,7 +184,7 @@
 
   /** Takes a lent connection back. */
   void giveBack(TargetConnection connection, String organisation) {
-    queue.done(organisation);
+    queue.done(lane(organisation));
     lent.remove(connection);
     if (connection.usable() && open <= limit) {
       idle.addFirst(connection);
@@ -238,7 +244,7 @@
                     () -> {
                       if (connection == null) {
                         open--;
-                        queue.done(next.organisation);
+                        queue.done(lane(next.organisation));
                         next.lender.accept(null);
                       } else {
                         lend(connection, next);
@@ -251,6 +257,10 @@
     next.lender.accept(connection);
   }
 
+  private String lane(String organisation) {
+    return fair ? organisation : SHARED_LANE;
+  }
+
   private void discard(TargetConnection connection) {
     connection.close();
     open--;
