Add the measure command; place homes once for each state of the settings

Reading the code for the capacity page showed that homes were placed anew for every group each 100 ms and at each request.

Change: `hickorydrift measure NAME` with experiments for latency, replica reads, failover, limits, fairness, settings and capacity. HomeTable keeps the placement of a state of the settings; a home's groups are reconciled only when settings or slot change.

Conclusion: no figure yet for the placement itself.

--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityExperiment.java
@@ -0,0 +1,22 @@
+package io.hickorydrift.proxy.bench;
+
+import java.io.PrintStream;
+
+/** Slopes of state, messages and processor time, extrapolated to the target size. */
+public final class CapacityExperiment implements Experiment {
+  @Override
+  public String name() {
+    return "capacity";
+  }
+
+  @Override
+  public String summary() {
+    return "cost of control by instances and groups, extrapolated to the target size";
+  }
+
+  @Override
+  public void run(PrintStream out) throws Exception {
+    CapacitySamples samples = CapacitySamples.take(out);
+    new CapacityTable(samples).print(out);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/ReplicaReadsExperiment.java
@@ -0,0 +1,90 @@
+package io.hickorydrift.proxy.bench;
+
+import io.hickorydrift.core.routing.PrimaryOnly;
+import io.hickorydrift.proxy.control.Policy;
+import java.io.PrintStream;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Share of reads on replicas by lag and by accepted age, beside reads on the primary only. */
+public final class ReplicaReadsExperiment implements Experiment {
+  private static final long[] LAGS_MS = {20, 100, 300};
+  private static final Long[] AGES_MS = {null, 200L, 500L, 2_000L};
+  private static final double SECONDS = 4;
+  private static final double READS_PER_SECOND = 400;
+  private static final long WRITE_PAUSE_MS = 10;
+
+  @Override
+  public String name() {
+    return "reads";
+  }
+
+  @Override
+  public String summary() {
+    return "share of reads on replicas by lag and accepted age";
+  }
+
+  @Override
+  public void run(PrintStream out) throws Exception {
+    out.println("| policy | lag ms | accepted age ms | on replicas | p50 ms | p99 ms | refused |");
+    out.println("|---|---|---|---|---|---|---|");
+    for (long lagMs : LAGS_MS) {
+      measure(out, "replicas first", Policy.STANDARD, lagMs);
+    }
+    measure(out, "primary only", Policy.STANDARD.withChooser(new PrimaryOnly()), LAGS_MS[1]);
+  }
+
+  private static void measure(PrintStream out, String name, Policy policy, long lagMs)
+      throws Exception {
+    FleetPlan plan = FleetPlan.builder().instances(3).lag(0, lagMs).policy(policy).build();
+    try (LocalFleet fleet = LocalFleet.start(plan)) {
+      CallerClient writer = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+      String first = fleet.instances().get(0).callersAddress();
+      writer.call(first, "write-0", "CREATE TABLE t (n INT)");
+      AtomicBoolean stop = new AtomicBoolean();
+      CompletableFuture<Void> writes =
+          CompletableFuture.runAsync(
+              () -> {
+                while (!stop.get()) {
+                  writer.call(first, "write-0", "INSERT INTO t VALUES (1)");
+                  pause(WRITE_PAUSE_MS);
+                }
+              });
+      for (Long ageMs : AGES_MS) {
+        read(fleet, ageMs, 1);
+        LoadResult result = read(fleet, ageMs, SECONDS);
+        out.printf(
+            "| %s | %d | %s | %.1f%% | %.2f | %.2f | %s |%n",
+            name,
+            lagMs,
+            ageMs == null ? "any" : ageMs,
+            100 * result.replicaShare(),
+            result.percentileMs(50),
+            result.percentileMs(99),
+            result.refusals());
+      }
+      stop.set(true);
+      writes.join();
+    }
+  }
+
+  private static LoadResult read(LocalFleet fleet, Long ageMs, double seconds) {
+    return Load.open(
+        READS_PER_SECOND,
+        seconds,
+        FleetPlan.key(0),
+        i ->
+            new Load.Call(
+                fleet.instances().get(i % fleet.instances().size()).callersAddress(),
+                "read-0",
+                CallerClient.body("SELECT 1", ageMs, null)));
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/TargetSize.java
@@ -0,0 +1,89 @@
+package io.hickorydrift.proxy.bench;
+
+import io.hickorydrift.core.config.SettingsReader;
+import io.hickorydrift.core.config.Team;
+import io.hickorydrift.proxy.settings.KeyDigest;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The size that the system has to carry in the end, and settings of that size.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class TargetSize {
+  /** Instances in the fleet. */
+  static final int INSTANCES = 2_200;
+
+  /** Database groups. */
+  static final int GROUPS = 11_000;
+
+  /** Failure domains. */
+  static final int DOMAINS = 28;
+
+  /** Targets of a group, and so its homes. */
+  static final int HOMES_PER_GROUP = 3;
+
+  /** Organisations; the users name none, this takes two for each group. */
+  static final int ORGANISATIONS = 22_000;
+
+  /** Changes of settings a day. */
+  static final double CHANGES_PER_DAY = 34_000;
+
+  /** Part of a core that control may take on a node. */
+  static final double CPU_LIMIT = 0.029;
+
+  /** Memory that control may take on a node, in megabytes. */
+  static final double MEMORY_LIMIT_MB = 128;
+
+  /** Bytes a second that control may send on a node. */
+  static final double BYTES_LIMIT = 11_000;
+
+  /** Seconds in a day. */
+  static final double SECONDS_PER_DAY = 86_400;
+
+  private static final int TEAMS = 400;
+
+  private TargetSize() {}
+
+  /** Returns all teams' settings at this size. */
+  static SortedMap<String, Team> teams() {
+    SortedMap<String, Map<String, String>> fleet = new TreeMap<>();
+    for (int d = 0; d < DOMAINS; d++) {
+      fleet.put("slots d" + d, Map.of("count", String.valueOf(INSTANCES / DOMAINS)));
+    }
+    for (int g = 0; g < GROUPS; g++) {
+      fleet.put("group g" + g, Map.of("homes_per_domain", "1"));
+      for (int t = 0; t < HOMES_PER_GROUP; t++) {
+        fleet.put(
+            "target t" + g + "-" + t,
+            Map.of(
+                "group",
+                "g" + g,
+                "address",
+                "10.1.2.3:5432",
+                "failure_domain",
+                "d" + (g + t) % DOMAINS,
+                "connections",
+                "30"));
+      }
+    }
+    SortedMap<String, Team> teams = new TreeMap<>();
+    teams.put(SettingsReader.FLEET_TEAM, new Team(1, fleet));
+    for (int t = 0; t < TEAMS; t++) {
+      teams.put("team-" + t, new Team(1, team(t)));
+    }
+    return teams;
+  }
+
+  private static SortedMap<String, Map<String, String>> team(int team) {
+    SortedMap<String, Map<String, String>> sections = new TreeMap<>();
+    for (int o = team; o < ORGANISATIONS; o += TEAMS) {
+      sections.put("organisation o" + o, Map.of("rate_per_s", "500", "burst", "1000"));
+      sections.put("key k" + o, Map.of("organisation", "o" + o, "digest", KeyDigest.of("key" + o)));
+      sections.put("route r" + o, Map.of("group", "g" + o % GROUPS, "access", "write"));
+    }
+    return sections;
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -23,6 +23,7 @@
           new StatusCommand(),
           new KeysCommand(),
           new DemoCommand(),
+          new MeasureCommand(),
           new StandinCommand(),
           new VersionCommand());
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
@@ -6,7 +6,7 @@
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
 import io.hickorydrift.core.message.HomeOp;
-import io.hickorydrift.core.placement.Homes;
+import io.hickorydrift.core.placement.HomeTable;
 import io.hickorydrift.proxy.home.HomeService;
 import io.hickorydrift.proxy.home.TransactionId;
 import io.hickorydrift.proxy.peer.PeerNetwork;
@@ -39,6 +39,7 @@
   private final Map<Long, Attempt> underWay = new ConcurrentHashMap<>();
   private final AtomicLong correlationIds = new AtomicLong();
   private final AtomicLong serving = new AtomicLong();
+  private volatile HomeTable homes;
   private volatile Map<Integer, String> slotHolders = Map.of();
 
   private final class Attempt {
@@ -185,7 +186,7 @@
     }
     int first = settings.firstSlot(failureDomain);
     int end = first < 0 ? -1 : first + settings.slots().get(failureDomain);
-    for (int slot : Homes.slotsOf(settings, group)) {
+    for (int slot : homesUnder(settings).slotsOf(group)) {
       String holder = slotHolders.get(slot);
       if (holder != null && !attempt.failed.contains(holder)) {
         boolean near = slot >= first && slot < end;
@@ -195,6 +196,15 @@
     return ranked;
   }
 
+  private HomeTable homesUnder(Settings settings) {
+    HomeTable current = homes;
+    if (current == null || current.settings() != settings) {
+      current = new HomeTable(settings);
+      homes = current;
+    }
+    return current;
+  }
+
   private void giveUp(Attempt attempt) {
     underWay.values().remove(attempt);
     boolean sent = attempt.peer != null && attempt.request.op() != HomeOp.READ;
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
@@ -10,6 +10,7 @@
 import io.hickorydrift.core.message.ForwardRequest;
 import io.hickorydrift.core.message.PrimaryNotice;
 import io.hickorydrift.core.message.Suspicion;
+import io.hickorydrift.core.placement.HomeTable;
 import io.hickorydrift.core.placement.Homes;
 import io.hickorydrift.core.routing.TargetView;
 import io.hickorydrift.proxy.control.Policy;
@@ -48,7 +49,7 @@
   private final Map<String, HomeGroup> groups = new HashMap<>();
   private final Map<String, GroupObserver> observers = new HashMap<>();
   private volatile Map<String, GroupStatus> status = Map.of();
-  private Settings settings;
+  private HomeTable homes;
   private int slot = -1;
   private SlotShare share = SlotShare.NONE;
   private Map<Integer, String> slotHolders = Map.of();
@@ -89,12 +90,15 @@
       Set<String> newLeavingTargets) {
     duty.submit(
         () -> {
-          settings = newSettings;
+          boolean placed = homes != null && homes.settings() == newSettings && slot == newSlot;
           slot = newSlot;
           share = newShare;
           slotHolders = Map.copyOf(liveSlotHolders);
           leavingTargets = Set.copyOf(newLeavingTargets);
-          reconcile();
+          if (!placed) {
+            homes = new HomeTable(newSettings);
+            reconcile();
+          }
         });
   }
 
@@ -143,6 +147,7 @@
   }
 
   private double weight(String organisation) {
+    Settings settings = homes.settings();
     Organisation found = settings.organisations().get(organisation);
     double rate = found == null ? 0 : found.limit().ratePerSecond();
     return Math.max(MIN_WEIGHT, Math.min(1, rate / settings.highestRatePerSecond()));
@@ -159,8 +164,8 @@
 
   private void reconcile() {
     Map<String, Group> wanted = new HashMap<>();
-    for (Group group : settings.groups().values()) {
-      if (slot >= 0 && Homes.slotsOf(settings, group).contains(slot)) {
+    for (Group group : homes.settings().groups().values()) {
+      if (slot >= 0 && homes.slotsOf(group).contains(slot)) {
         wanted.put(group.name(), group);
       }
     }
@@ -183,8 +188,8 @@
 
   private void applyShares(long nowNanos) {
     for (HomeGroup home : groups.values()) {
-      List<Integer> homeSlots = Homes.slotsOf(settings, home.group());
-      double usable = share.usable(nowNanos) * settings.slotCount();
+      List<Integer> homeSlots = homes.slotsOf(home.group());
+      double usable = share.usable(nowNanos) * homes.settings().slotCount();
       for (Target target : home.group().targets()) {
         int connections = Homes.connections(target, homeSlots.size(), usable);
         home.setConnections(target.id(), connections);
@@ -202,7 +207,7 @@
   }
 
   private void tick(long nowNanos) {
-    if (settings == null) {
+    if (homes == null) {
       return;
     }
     applyShares(nowNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/peer/OutboundLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/OutboundLink.java
@@ -48,7 +48,7 @@
     this.address = address;
     this.fleet = fleet;
     this.onLost = onLost;
-    thread = new Thread(this::run, "peer-out-" + address);
+    thread = new Thread(this::run, "peer-out-" + self + "-" + peer);
     thread.setDaemon(true);
     thread.start();
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
@@ -37,7 +37,7 @@
     this.fleet = fleet;
     this.listener = listener;
     server = new ServerSocket(address.getPort(), MAX_LINKS, InetAddress.getByName(host(address)));
-    Thread thread = new Thread(this::acceptLoop, "peer-accept");
+    Thread thread = new Thread(this::acceptLoop, "peer-accept-" + self);
     thread.setDaemon(true);
     thread.start();
   }
@@ -64,7 +64,7 @@
           continue;
         }
         links.add(socket);
-        Thread thread = new Thread(() -> serve(socket), "peer-in-" + socket.getPort());
+        Thread thread = new Thread(() -> serve(socket), "peer-in-" + self + "-" + socket.getPort());
         thread.setDaemon(true);
         thread.start();
       } catch (IOException e) {
