--- a/core/src/main/java/io/hickorydrift/core/config/ConfigLog.java
+++ b/core/src/main/java/io/hickorydrift/core/config/ConfigLog.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.message.ConfigEntry;
 import io.hickorydrift.core.message.SectionChange;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -13,18 +14,22 @@
  * The accepted configuration entries that are in force at an instance.
  *
  * <p>Invariants: entries are applied in order, each exactly once, and never taken back. An entry
- * based on an outdated revision of its subtree is kept in the log but changes nothing, in the same
- * way at each instance.
+ * based on an outdated revision of its subtree changes nothing, in the same way at each instance.
+ * Only the latest entries are kept; a snapshot stands for those before.
  *
  * <p>Thread safety: confined to one thread; the teams it returns are immutable.
  */
 public final class ConfigLog {
-  private final List<ConfigEntry> entries = new ArrayList<>();
+  /** Entries kept for peers that are a little behind and for recognising repeated changes. */
+  public static final int KEPT_ENTRIES = 1_024;
+
+  private final ArrayDeque<ConfigEntry> kept = new ArrayDeque<>();
   private final SortedMap<String, Team> teams = new TreeMap<>();
+  private long applied;
 
   /** Returns the number of the last entry in force, 0 for none. */
   public long applied() {
-    return entries.size();
+    return applied;
   }
 
   /** Returns all teams with settings. */
@@ -37,19 +42,39 @@
     return teams.getOrDefault(name, Team.EMPTY);
   }
 
-  /** Returns up to {@code most} entries from {@code first} on. */
+  /** Returns whether all entries from {@code first} on are kept. */
+  public boolean keeps(long first) {
+    return first > applied - kept.size();
+  }
+
+  /** Returns up to {@code most} of the kept entries from {@code first} on. */
   public List<ConfigEntry> from(long first, int most) {
-    int start = (int) Math.min(entries.size(), Math.max(0, first - 1));
-    int count = Math.min(most, entries.size() - start);
-    return List.copyOf(entries.subList(start, start + count));
+    List<ConfigEntry> entries = new ArrayList<>();
+    for (ConfigEntry entry : kept) {
+      if (entry.number() >= first && entries.size() < most) {
+        entries.add(entry);
+      }
+    }
+    return entries;
+  }
+
+  /** Returns the kept entry with {@code changeId}, or null. */
+  public ConfigEntry withChangeId(String changeId) {
+    for (ConfigEntry entry : kept) {
+      if (entry.changeId().equals(changeId)) {
+        return entry;
+      }
+    }
+    return null;
   }
 
   /** Applies those of {@code offered} that come next; returns whether any did. */
   public boolean apply(List<ConfigEntry> offered) {
     boolean changed = false;
     for (ConfigEntry entry : offered) {
-      if (entry.number() == applied() + 1) {
-        entries.add(entry);
+      if (entry.number() == applied + 1) {
+        applied = entry.number();
+        keep(entry);
         applyChanges(entry);
         changed = true;
       }
@@ -57,20 +82,28 @@
     return changed;
   }
 
-  /** Returns whether {@code entry} took effect when it was applied. */
-  public boolean tookEffect(ConfigEntry entry) {
-    return entry.number() >= 1
-        && entry.number() <= applied()
-        && effective.get((int) entry.number() - 1);
+  /** Takes over a snapshot if it is newer than what is in force; returns whether it was. */
+  public boolean restore(long entry, SortedMap<String, Team> snapshot) {
+    if (entry <= applied) {
+      return false;
+    }
+    applied = entry;
+    kept.clear();
+    teams.clear();
+    teams.putAll(snapshot);
+    return true;
   }
 
-  private final List<Boolean> effective = new ArrayList<>();
+  private void keep(ConfigEntry entry) {
+    kept.addLast(entry);
+    if (kept.size() > KEPT_ENTRIES) {
+      kept.removeFirst();
+    }
+  }
 
   private void applyChanges(ConfigEntry entry) {
     Team team = team(entry.team());
-    boolean current = team.revision() == entry.baseRevision();
-    effective.add(current);
-    if (!current) {
+    if (team.revision() != entry.baseRevision()) {
       return;
     }
     SortedMap<String, Map<String, String>> sections = new TreeMap<>(team.sections());
--- a/core/src/main/java/io/hickorydrift/core/message/PeerType.java
+++ b/core/src/main/java/io/hickorydrift/core/message/PeerType.java
@@ -20,7 +20,9 @@
 
   CONFIG_REQUEST(8, ConfigRequest.class),
 
-  CONFIG_ENTRIES(9, ConfigEntries.class);
+  CONFIG_ENTRIES(9, ConfigEntries.class),
+
+  CONFIG_SNAPSHOT(10, ConfigSnapshot.class);
 
   private final int number;
 
--- a/core/src/test/java/io/hickorydrift/core/config/ConfigTest.java
+++ b/core/src/test/java/io/hickorydrift/core/config/ConfigTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hickorydrift.core.message.ConfigEntry;
+import io.hickorydrift.core.message.ConfigSnapshot;
 import io.hickorydrift.core.message.SectionChange;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -13,6 +14,7 @@
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -71,6 +73,44 @@
     }
   }
 
+  @Property(tries = 200)
+  void snapshotAtAnyEntryStandsForTheEntriesBefore(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<ConfigEntry> entries = entries(random, 40);
+    int at = 1 + random.nextInt(40);
+    ConfigLog whole = new ConfigLog();
+    whole.apply(entries.subList(0, at));
+    List<ConfigSnapshot> parts =
+        new ArrayList<>(SnapshotWriter.write(at, whole.teams(), 1 + random.nextInt(400)));
+    Collections.shuffle(parts, random);
+    SnapshotReader reader = new SnapshotReader();
+    SortedMap<String, Team> teams = null;
+    for (ConfigSnapshot part : parts) {
+      assertThat(teams).as("whole only with the last part").isNull();
+      teams = reader.add(part);
+    }
+    ConfigLog restored = new ConfigLog();
+    assertThat(restored.restore(reader.entry(), teams)).isTrue();
+    assertThat(restored.teams()).isEqualTo(whole.teams());
+    restored.apply(entries);
+    whole.apply(entries);
+    assertThat(restored.teams()).isEqualTo(whole.teams());
+    assertThat(restored.restore(at, teams)).as("never back").isFalse();
+  }
+
+  @Test
+  void onlyTheLatestEntriesAreKept() {
+    ConfigLog log = new ConfigLog();
+    int count = 3 * ConfigLog.KEPT_ENTRIES;
+    for (int i = 1; i <= count; i++) {
+      log.apply(List.of(new ConfigEntry(i, "t", i - 1, "c" + i, List.of())));
+    }
+    assertThat(log.from(1, Integer.MAX_VALUE)).hasSize(ConfigLog.KEPT_ENTRIES);
+    assertThat(log.keeps(count - ConfigLog.KEPT_ENTRIES + 1)).isTrue();
+    assertThat(log.keeps(count - ConfigLog.KEPT_ENTRIES)).isFalse();
+    assertThat(log.withChangeId("c" + count).number()).isEqualTo(count);
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
@@ -86,7 +126,7 @@
         "portal | route r        | group=none,access=fly  | access",
         "portal | rout r         | a=b                   | expected a kind",
         "fleet  | target t       | group=none,address=h:1,failure_domain=d,connections=1 | address",
-        "fleet  | target t       | group=none,address=1.2.3.4:1,failure_domain=d,connections=0 | connections"
+        "fleet | target t | group=n,address=1.2.3.4:1,failure_domain=d,connections=0 | connections"
       })
   void problemIsToldWithItsPlace(String team, String section, String values, String place) {
     Map<String, String> parsed = new TreeMap<>();
--- a/core/src/test/java/io/hickorydrift/core/flow/GroupScenario.java
+++ b/core/src/test/java/io/hickorydrift/core/flow/GroupScenario.java
@@ -113,7 +113,7 @@
     nowNanos += random.nextInt(4) * MS;
     for (int i = 0; i < SIZE; i++) {
       if (!paused(homes.get(i))) {
-        run(i, homes.get(i).machine.tick(nowNanos));
+        carryOut(i, homes.get(i).machine.tick(nowNanos));
         resume(i);
         poll(i);
       }
@@ -226,7 +226,7 @@
     }
   }
 
-  private void run(int number, List<FailoverAction> actions) {
+  private void carryOut(int number, List<FailoverAction> actions) {
     Home home = homes.get(number);
     for (FailoverAction action : actions) {
       if (action instanceof FailoverAction.Probe probe) {
@@ -236,21 +236,23 @@
             probe.target(),
             request,
             answer ->
-                run(number, home.machine.probed(probe.target(), answer, probe.fresh(), nowNanos)));
+                carryOut(
+                    number, home.machine.probed(probe.target(), answer, probe.fresh(), nowNanos)));
       } else if (action instanceof FailoverAction.Fence fence) {
         send(
             number,
             fence.target(),
             request(TargetOp.FENCE, fence.term()),
             answer ->
-                run(number, home.machine.fenced(fence.target(), fence.term(), answer, nowNanos)));
+                carryOut(
+                    number, home.machine.fenced(fence.target(), fence.term(), answer, nowNanos)));
       } else if (action instanceof FailoverAction.Promote promote) {
         send(
             number,
             promote.target(),
             request(TargetOp.PROMOTE, promote.term()),
             answer ->
-                run(
+                carryOut(
                     number,
                     home.machine.promoted(promote.target(), promote.term(), answer, nowNanos)));
       } else if (action instanceof FailoverAction.Tell tell) {
@@ -265,7 +267,7 @@
     for (int i = 0; i < SIZE; i++) {
       int to = i;
       if (to != from && random.nextDouble() >= faults.lose) {
-        answers.add(() -> run(to, homes.get(to).machine.told(suspicion, nowNanos)));
+        answers.add(() -> carryOut(to, homes.get(to).machine.told(suspicion, nowNanos)));
       }
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
@@ -11,6 +11,16 @@
  * <p>Thread safety: confined to one thread.
  */
 final class CapacityTable {
+  private static final double PEERS = TargetSize.INSTANCES - 1;
+  private static final double NEAR = (double) TargetSize.INSTANCES / TargetSize.DOMAINS - 1;
+  private static final double HOME_GROUPS =
+      (double) TargetSize.GROUPS * TargetSize.HOMES_PER_GROUP / TargetSize.INSTANCES;
+  private static final double BYTES_LIMIT = TargetSize.BYTES_LIMIT;
+  private static final double CPU_LIMIT = 100 * TargetSize.CPU_LIMIT;
+  private static final double MEMORY_LIMIT = TargetSize.MEMORY_LIMIT_MB;
+  private static final double STORE_LIMIT = 2_000;
+  private static final double MS_PER_SECOND = 1_000;
+
   private final CapacitySamples samples;
 
   CapacityTable(CapacitySamples samples) {
@@ -18,102 +28,66 @@
   }
 
   void print(PrintStream out) {
-    double homeGroups =
-        (double) TargetSize.GROUPS * TargetSize.HOMES_PER_GROUP / TargetSize.INSTANCES;
-    double peers = TargetSize.INSTANCES - 1;
-    double domainPeers = (double) TargetSize.INSTANCES / TargetSize.DOMAINS - 1;
-    double changes = TargetSize.CHANGES_PER_DAY / TargetSize.SECONDS_PER_DAY;
-    double bytesPerPeer = slope(samples.byInstances, this::peersOf, Sample::bytesPerSecond);
-    double cpuPerPeer = slope(samples.byInstances, this::peersOf, Sample::cpu);
-    double storePerInstance = average(samples.byInstances, Sample::storeCallsPerSecond);
-    double homePerGroup = slope(samples.byGroups, sample -> sample.groups(), Sample::homeCpu);
-    double exchangesPerGroup =
-        slope(samples.byGroups, sample -> sample.groups(), Sample::exchangesPerSecond);
-    double relayBytes = changes * samples.settings.entryBytes();
-
     out.println();
     out.println("| role | slope measured | at the target size | limit | holds |");
     out.println("|---|---|---|---|---|");
-    row(
-        out,
-        "membership, heartbeats to all peers (as built): bytes/s",
-        "%.1f bytes/s a peer".formatted(bytesPerPeer),
-        bytesPerPeer * peers,
-        TargetSize.BYTES_LIMIT,
-        "");
-    row(
-        out,
-        "membership within the failure domain (not built): bytes/s",
-        "the same slope, %.0f peers".formatted(domainPeers),
-        bytesPerPeer * domainPeers,
-        TargetSize.BYTES_LIMIT,
-        "");
-    row(
-        out,
-        "peer links and control, all peers (as built): % of a core",
-        "%.4f%% a peer".formatted(100 * cpuPerPeer),
-        100 * cpuPerPeer * peers,
-        100 * TargetSize.CPU_LIMIT,
-        "");
-    row(
-        out,
-        "peer links and control within the domain (not built): % of a core",
-        "the same slope",
-        100 * cpuPerPeer * domainPeers,
-        100 * TargetSize.CPU_LIMIT,
-        "");
-    row(
-        out,
-        "home and observer, %.0f groups a node: %% of a core".formatted(homeGroups),
-        "%.4f%% a group".formatted(100 * homePerGroup),
-        100 * homePerGroup * homeGroups,
-        100 * TargetSize.CPU_LIMIT,
-        "");
-    row(
-        out,
-        "observer's probes of idle groups: exchanges/s",
-        "%.2f a group".formatted(exchangesPerGroup),
-        exchangesPerGroup * homeGroups,
-        Double.NaN,
-        "no limit stated");
-    row(
-        out,
-        "store, each instance for itself (as built): calls/s of the fleet",
-        "%.2f an instance".formatted(storePerInstance),
-        storePerInstance * TargetSize.INSTANCES,
-        2_000,
-        "");
-    row(
-        out,
-        "settings relay, each entry to each peer of the domain: bytes/s",
-        "%d bytes an entry".formatted(samples.settings.entryBytes()),
-        relayBytes * domainPeers,
-        TargetSize.BYTES_LIMIT,
-        "");
-    row(
-        out,
-        "settings in memory, whole: MB",
-        "measured at the size",
-        samples.settings.megabytes(),
-        TargetSize.MEMORY_LIMIT_MB,
-        "");
-    row(
-        out,
-        "settings read anew at each change (as built): % of a core",
-        "%.0f ms a change".formatted(samples.settings.readMs()),
-        100 * samples.settings.readMs() / 1_000 * changes,
-        100 * TargetSize.CPU_LIMIT,
-        "");
+    membership(out);
+    homes(out);
+    store(out);
+    settings(out);
+  }
+
+  private void membership(PrintStream out) {
+    double bytes = slope(samples.byInstances, this::peersOf, Sample::bytesPerSecond);
+    String slope = "%.1f bytes/s a peer".formatted(bytes);
+    row(out, "heartbeats to all (as built), bytes/s", slope, bytes * PEERS, BYTES_LIMIT);
+    row(out, "heartbeats in a domain (not built), bytes/s", slope, bytes * NEAR, BYTES_LIMIT);
+    double cpu = 100 * slope(samples.byInstances, this::peersOf, Sample::cpu);
+    slope = "%.4f%% a peer".formatted(cpu);
+    row(out, "peer links and control, all (as built), % of a core", slope, cpu * PEERS, CPU_LIMIT);
+    row(out, "the same in a domain (not built), % of a core", slope, cpu * NEAR, CPU_LIMIT);
+  }
+
+  private void homes(PrintStream out) {
+    double cpu = 100 * slope(samples.byGroups, Sample::groups, Sample::homeCpu);
+    String role = "home and observer of %.0f idle groups, ".formatted(HOME_GROUPS);
+    String slope = "%.4f%% a group".formatted(cpu);
+    row(out, role + "% of a core", slope, cpu * HOME_GROUPS, CPU_LIMIT);
+    double exchanges = slope(samples.byGroups, Sample::groups, Sample::exchangesPerSecond);
+    slope = "%.2f a group".formatted(exchanges);
+    row(out, role + "exchanges/s", slope, exchanges * HOME_GROUPS, Double.NaN);
+  }
+
+  private void store(PrintStream out) {
+    double calls = average(samples.byInstances, Sample::storeCallsPerSecond);
+    String slope = "%.2f an instance".formatted(calls);
+    double fleet = calls * TargetSize.INSTANCES;
+    row(out, "store calls/s of the fleet (as built)", slope, fleet, STORE_LIMIT);
+  }
+
+  private void settings(PrintStream out) {
+    double changes = TargetSize.CHANGES_PER_DAY / TargetSize.SECONDS_PER_DAY;
+    int entryBytes = samples.settings.entryBytes();
+    String slope = "%d bytes an entry".formatted(entryBytes);
+    double relayed = changes * entryBytes;
+    row(out, "relay, to all peers (as built), bytes/s", slope, relayed * PEERS, BYTES_LIMIT);
+    row(out, "relay, to its domain (not built), bytes/s", slope, relayed * NEAR, BYTES_LIMIT);
+    double megabytes = samples.settings.megabytes();
+    row(out, "all settings in memory, MB", "at full size", megabytes, MEMORY_LIMIT);
+    double readMs = samples.settings.readMs();
+    slope = "%.1f ms a change".formatted(readMs);
+    double cpu = 100 * readMs / MS_PER_SECOND * changes;
+    row(out, "taking in changes of settings, % of a core", slope, cpu, CPU_LIMIT);
   }
 
   private double peersOf(Sample sample) {
     return sample.instances() - 1;
   }
 
-  private static void row(
-      PrintStream out, String role, String slope, double value, double limit, String note) {
-    String holds = Double.isNaN(limit) ? note : value <= limit ? "yes" : "**no**";
-    String shown = Double.isNaN(limit) ? "-" : "%.1f".formatted(limit);
+  private static void row(PrintStream out, String role, String slope, double value, double limit) {
+    boolean limited = !Double.isNaN(limit);
+    String holds = !limited ? "none stated" : value <= limit ? "yes" : "**no**";
+    String shown = limited ? "%.1f".formatted(limit) : "-";
     out.printf("| %s | %s | %.1f | %s | %s |%n", role, slope, value, shown, holds);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/LatencyExperiment.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/LatencyExperiment.java
@@ -41,11 +41,11 @@
       String home = fleet.instances().get(0).callersAddress();
       caller.call(home, "write-0", "CREATE TABLE t (id INT, n INT)");
       long term = fleet.targets().get(primary).lastEntry().term();
-      Histogram directRead = sequence(i -> exchange(direct, TargetOp.READ, term, "SELECT 1"));
-      Histogram proxiedRead = sequence(i -> caller.call(home, "read-0", "SELECT 1"));
-      Histogram directWrite =
+      final Histogram directRead = sequence(i -> exchange(direct, TargetOp.READ, term, "SELECT 1"));
+      final Histogram proxiedRead = sequence(i -> caller.call(home, "read-0", "SELECT 1"));
+      final Histogram directWrite =
           sequence(i -> exchange(direct, TargetOp.WRITE, term, "INSERT INTO t VALUES (1, 1)"));
-      Histogram proxiedWrite =
+      final Histogram proxiedWrite =
           sequence(i -> caller.call(home, "write-0", "INSERT INTO t VALUES (1, 1)"));
       out.println(
           "| operation | direct p50 ms | proxied p50 ms | ratio | direct p99 | proxied p99 |");
@@ -103,13 +103,13 @@
 
   private static void throughput(PrintStream out, LocalFleet fleet) throws Exception {
     String address = fleet.instances().get(0).callersAddress();
-    LoadResult reads =
+    final LoadResult reads =
         Load.closed(
             CALLERS,
             SECONDS,
             FleetPlan.key(0),
             i -> new Load.Call(address, "read-0", CallerClient.body("SELECT 1", null, null)));
-    LoadResult writes =
+    final LoadResult writes =
         Load.closed(
             CALLERS,
             SECONDS,
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/SettingsExperiment.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/SettingsExperiment.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.proxy.Instance;
 import io.hickorydrift.proxy.control.Policy;
+import io.hickorydrift.proxy.settings.KeyDigest;
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -64,7 +65,7 @@
   }
 
   private static String extraKey(boolean granted) {
-    String digest = io.hickorydrift.proxy.settings.KeyDigest.of("extra-key");
+    String digest = KeyDigest.of("extra-key");
     return granted ? "[key extra]\norganisation = org-0\ndigest = " + digest + "\n" : "";
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
@@ -4,12 +4,15 @@
 import io.hickorydrift.core.config.Settings;
 import io.hickorydrift.core.config.SettingsProblem;
 import io.hickorydrift.core.config.SettingsReader;
+import io.hickorydrift.core.config.SnapshotReader;
+import io.hickorydrift.core.config.SnapshotWriter;
 import io.hickorydrift.core.config.Team;
 import io.hickorydrift.core.error.ProxyException;
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.message.ConfigEntries;
 import io.hickorydrift.core.message.ConfigEntry;
 import io.hickorydrift.core.message.ConfigRequest;
+import io.hickorydrift.core.message.ConfigSnapshot;
 import io.hickorydrift.core.message.SectionChange;
 import io.hickorydrift.core.message.StoredValue;
 import io.hickorydrift.proxy.peer.PeerNetwork;
@@ -40,6 +43,10 @@
   private static final long WATCH_MS = 2_000;
   private static final long RETRY_MS = 300;
   private static final int BATCH = 200;
+
+  /** Entries between two snapshots; fewer than are kept, so that none is missed by peers. */
+  private static final int SNAPSHOT_ENTRIES = ConfigLog.KEPT_ENTRIES / 4;
+
   private static final int APPLY_TRIES = 20;
 
   private final Duty duty;
@@ -49,6 +56,8 @@
   private final long pollMs;
   private final Consumer<Settings> onChange;
   private final ConfigLog log = new ConfigLog();
+  private final SnapshotStore snapshots;
+  private final SnapshotReader peerSnapshot = new SnapshotReader();
   private boolean watching;
   private boolean relay = true;
   private volatile Settings settings = new SettingsReader().read(0, new TreeMap<>());
@@ -72,7 +81,8 @@
     this.timer = timer;
     this.pollMs = pollMs;
     this.onChange = onChange;
-    duty.submit(this::follow);
+    snapshots = new SnapshotStore(platform);
+    duty.submit(this::begin);
   }
 
   /** Returns the settings in force. */
@@ -104,13 +114,26 @@
     duty.submit(() -> apply(entries.entries()));
   }
 
+  /** A peer sent a part of a snapshot, since it no longer keeps the entries asked for. */
+  public void received(ConfigSnapshot part) {
+    duty.submit(
+        () -> {
+          SortedMap<String, Team> whole = peerSnapshot.add(part);
+          if (whole != null && log.restore(peerSnapshot.entry(), whole)) {
+            inForce();
+          }
+        });
+  }
+
   /** A peer asks for entries. */
   public void requested(String peer, ConfigRequest request) {
     duty.submit(
         () -> {
-          List<ConfigEntry> entries = log.from(request.firstEntry(), BATCH);
-          if (!entries.isEmpty()) {
-            peers.send(peer, new ConfigEntries(entries));
+          if (log.keeps(request.firstEntry())) {
+            peers.send(peer, new ConfigEntries(log.from(request.firstEntry(), BATCH)));
+          } else {
+            SnapshotWriter.write(log.applied(), log.teams(), SnapshotWriter.PART_CHARS)
+                .forEach(part -> peers.send(peer, part));
           }
         });
   }
@@ -148,6 +171,21 @@
     return KEY_PREFIX + String.format("%012d", number);
   }
 
+  /** Starts from the newest snapshot, so that only the entries after it are read one by one. */
+  private void begin() {
+    snapshots
+        .read()
+        .whenComplete(
+            (snapshot, failure) ->
+                duty.submit(
+                    () -> {
+                      if (snapshot != null && log.restore(snapshot.entry(), snapshot.teams())) {
+                        inForce();
+                      }
+                      follow();
+                    }));
+  }
+
   private void follow() {
     if (watching || !relay) {
       return;
@@ -185,6 +223,16 @@
     if (!log.apply(offered)) {
       return;
     }
+    inForce();
+    if (pollMs == 0) {
+      ConfigEntries news = new ConfigEntries(log.from(before + 1, BATCH));
+      for (String peer : peers.peers()) {
+        peers.send(peer, news);
+      }
+    }
+  }
+
+  private void inForce() {
     SettingsReader reader = new SettingsReader();
     teams = log.teams();
     settings = reader.read(log.applied(), teams);
@@ -193,12 +241,6 @@
     }
     Logger.info("event=settings_in_force entry={}", log.applied());
     onChange.accept(settings);
-    if (pollMs == 0) {
-      ConfigEntries news = new ConfigEntries(log.from(before + 1, BATCH));
-      for (String peer : peers.peers()) {
-        peers.send(peer, news);
-      }
-    }
   }
 
   private void propose(Proposal proposal, int triesLeft) {
@@ -223,13 +265,11 @@
   }
 
   private boolean alreadyAccepted(Proposal proposal) {
-    for (ConfigEntry entry : log.from(proposal.baseRevision + 1, Integer.MAX_VALUE)) {
-      if (entry.changeId().equals(proposal.changeId)) {
-        proposal.result.complete(entry.number());
-        return true;
-      }
+    ConfigEntry accepted = log.withChangeId(proposal.changeId);
+    if (accepted != null) {
+      proposal.result.complete(accepted.number());
     }
-    return false;
+    return accepted != null;
   }
 
   private void write(Proposal proposal, int triesLeft) {
@@ -252,6 +292,9 @@
     if (written != null) {
       apply(List.of(entry));
       proposal.result.complete(entry.number());
+      if (entry.number() % SNAPSHOT_ENTRIES == 0) {
+        snapshots.write(log.applied(), log.teams());
+      }
       return;
     }
     // A conflict or a lost answer: what stands in the store under this number decides.
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.membership.Membership;
 import io.hickorydrift.core.message.ConfigEntries;
 import io.hickorydrift.core.message.ConfigRequest;
+import io.hickorydrift.core.message.ConfigSnapshot;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
 import io.hickorydrift.core.message.GrantAnswer;
@@ -201,6 +202,8 @@
       config.requested(peer, request);
     } else if (message instanceof ConfigEntries entries) {
       config.received(entries);
+    } else if (message instanceof ConfigSnapshot part) {
+      config.received(part);
     }
   }
 
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/FlowFactory.java
@@ -0,0 +1,99 @@
+package io.hickorydrift.proxy.home;
+
+import io.hickorydrift.core.flow.BeginFlow;
+import io.hickorydrift.core.flow.ReadDemand;
+import io.hickorydrift.core.flow.ReadFlow;
+import io.hickorydrift.core.flow.StatementFlow;
+import io.hickorydrift.core.flow.WriteDemand;
+import io.hickorydrift.core.flow.WriteFlow;
+import io.hickorydrift.core.message.HomeOp;
+import io.hickorydrift.core.message.TargetOp;
+import io.hickorydrift.core.message.TargetRequest;
+import io.hickorydrift.core.routing.GroupView;
+import io.hickorydrift.core.routing.TargetChooser;
+
+/**
+ * Chooses the flow that serves a request.
+ *
+ * <p>Thread safety: confined to the home duty.
+ */
+final class FlowFactory {
+  private final GroupView view;
+  private final TargetChooser chooser;
+  private final TransactionTable transactions;
+
+  FlowFactory(GroupView view, TargetChooser chooser, TransactionTable transactions) {
+    this.view = view;
+    this.chooser = chooser;
+    this.transactions = transactions;
+  }
+
+  /** Gives {@code request} its flow; returns false if its transaction is not open. */
+  boolean prepare(HomeRequest request, long nowNanos) {
+    HomeOp op = request.request.op();
+    if (op == HomeOp.READ) {
+      request.flow = new ReadFlow(view, chooser, readDemand(request, nowNanos));
+    } else if (op == HomeOp.WRITE) {
+      request.flow = WriteFlow.write(view, writeDemand(request, request.request.requestId()));
+    } else if (op == HomeOp.BEGIN) {
+      request.flow = new BeginFlow(view, request.request.organisation(), request.deadlineNanos);
+    } else {
+      return prepareInTransaction(request, nowNanos);
+    }
+    return true;
+  }
+
+  private boolean prepareInTransaction(HomeRequest request, long nowNanos) {
+    String id = request.request.transactionId();
+    HomeTransaction transaction =
+        transactions.find(id, request.request.organisation(), view.group());
+    if (transaction == null || transaction.busy) {
+      if (request.request.op() != HomeOp.COMMIT || transaction != null) {
+        return false;
+      }
+      // An earlier commit may have taken effect; its id tells.
+      request.flow = WriteFlow.settle(view, writeDemand(request, id));
+      return true;
+    }
+    transaction.lastUsedNanos = nowNanos;
+    transaction.busy = true;
+    request.transaction = transaction;
+    request.flow =
+        request.request.op() == HomeOp.COMMIT
+            ? WriteFlow.commit(view, writeDemand(request, id), transaction.target)
+            : new StatementFlow(transaction.target, statement(request));
+    return true;
+  }
+
+  private TargetRequest statement(HomeRequest request) {
+    boolean rollback = request.request.op() == HomeOp.ROLLBACK;
+    return TargetRequest.builder()
+        .op(rollback ? TargetOp.ROLLBACK : TargetOp.STATEMENT)
+        .term(view.term())
+        .organisation(request.request.organisation())
+        .sql(request.request.sql())
+        .params(request.request.params())
+        .build();
+  }
+
+  private static ReadDemand readDemand(HomeRequest request, long nowNanos) {
+    return new ReadDemand(
+        request.request.organisation(),
+        request.request.sql(),
+        request.request.params(),
+        request.request.sessionPosition(),
+        request.request.maxAgeMs(),
+        nowNanos,
+        request.deadlineNanos);
+  }
+
+  private static WriteDemand writeDemand(HomeRequest request, String requestId) {
+    boolean commit = request.request.op() == HomeOp.COMMIT;
+    return new WriteDemand(
+        request.request.organisation(),
+        commit ? null : request.request.sql(),
+        request.request.params(),
+        requestId,
+        request.deadlineNanos);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
@@ -5,22 +5,12 @@
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.flow.BeginFlow;
 import io.hickorydrift.core.flow.ExchangeFailure;
-import io.hickorydrift.core.flow.ReadDemand;
-import io.hickorydrift.core.flow.ReadFlow;
-import io.hickorydrift.core.flow.StatementFlow;
 import io.hickorydrift.core.flow.Step;
-import io.hickorydrift.core.flow.WriteDemand;
-import io.hickorydrift.core.flow.WriteFlow;
 import io.hickorydrift.core.message.ForwardAnswer;
-import io.hickorydrift.core.message.HomeOp;
-import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.message.TargetAnswer;
 import io.hickorydrift.core.message.TargetOp;
-import io.hickorydrift.core.message.TargetRequest;
 import io.hickorydrift.core.message.TargetStatus;
-import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.routing.GroupView;
-import io.hickorydrift.core.routing.TargetChooser;
 import io.hickorydrift.core.routing.TargetView;
 import io.hickorydrift.proxy.control.Policy;
 import io.hickorydrift.proxy.runtime.Duty;
@@ -32,7 +22,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -41,24 +30,17 @@
  * <p>Invariant: each request is answered exactly once. Thread safety: confined to the home duty.
  */
 final class HomeGroup {
-  private static final long IN_USE_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-  private static final long AWAIT_MS = 50;
-  private static final long POLL_TIMEOUT_MS = 300;
-
   private final Group group;
   private final GroupView view;
-  private final TargetChooser chooser;
+  private final FlowFactory flows;
+  private final GroupPoller poller;
   private final TransactionTable transactions;
   private final Map<String, TargetPool> pools = new HashMap<>();
   private final Map<String, ControlChannel> channels = new HashMap<>();
-  private final Map<String, Long> polledNanos = new HashMap<>();
   private final Set<HomeRequest> waiting = new LinkedHashSet<>();
   private Consumer<String> onSilentPoll = target -> {};
-  private Position awaited = Positions.START;
   private long watchedTerm;
   private String watchedPrimary;
-  private long usedNanos = Long.MIN_VALUE;
 
   HomeGroup(
       Group group,
@@ -67,7 +49,6 @@
       Policy policy,
       TransactionTable transactions) {
     this.group = group;
-    chooser = policy.chooser();
     this.transactions = transactions;
     List<String> ids = new ArrayList<>();
     for (Target target : group.targets()) {
@@ -77,6 +58,20 @@
       channels.put(target.id(), new ControlChannel(target.address(), connector, duty));
     }
     view = new GroupView(group.name(), ids);
+    flows = new FlowFactory(view, policy.chooser(), transactions);
+    poller = new GroupPoller(view, channels, new PollListener());
+  }
+
+  private final class PollListener implements GroupPoller.Listener {
+    @Override
+    public void polled(String target, TargetAnswer answer, long sentNanos) {
+      observe(target, answer, sentNanos, System.nanoTime());
+    }
+
+    @Override
+    public void silent(String target) {
+      onSilentPoll.accept(target);
+    }
   }
 
   Group group() {
@@ -110,8 +105,8 @@
   }
 
   void serve(HomeRequest request, long nowNanos) {
-    usedNanos = nowNanos;
-    if (!prepare(request, nowNanos)) {
+    poller.used(nowNanos);
+    if (!flows.prepare(request, nowNanos)) {
       refuse(request, ResultCode.NO_TRANSACTION);
       return;
     }
@@ -149,7 +144,7 @@
     for (HomeTransaction idle : transactions.expire(group.name(), nowNanos)) {
       endTransaction(idle, false);
     }
-    poll(nowNanos);
+    poller.poll(nowNanos);
   }
 
   void close() {
@@ -163,74 +158,6 @@
     }
   }
 
-  private boolean prepare(HomeRequest request, long nowNanos) {
-    HomeOp op = request.request.op();
-    if (op == HomeOp.READ) {
-      request.flow = new ReadFlow(view, chooser, readDemand(request, nowNanos));
-    } else if (op == HomeOp.WRITE) {
-      request.flow = WriteFlow.write(view, writeDemand(request, request.request.requestId()));
-    } else if (op == HomeOp.BEGIN) {
-      request.flow = new BeginFlow(view, request.request.organisation(), request.deadlineNanos);
-    } else {
-      return prepareInTransaction(request, nowNanos);
-    }
-    return true;
-  }
-
-  private boolean prepareInTransaction(HomeRequest request, long nowNanos) {
-    String id = request.request.transactionId();
-    HomeTransaction transaction =
-        transactions.find(id, request.request.organisation(), group.name());
-    if (transaction == null || transaction.busy) {
-      if (request.request.op() != HomeOp.COMMIT || transaction != null) {
-        return false;
-      }
-      // An earlier commit may have taken effect; its id tells.
-      request.flow = WriteFlow.settle(view, writeDemand(request, id));
-      return true;
-    }
-    transaction.lastUsedNanos = nowNanos;
-    transaction.busy = true;
-    request.transaction = transaction;
-    request.flow =
-        request.request.op() == HomeOp.COMMIT
-            ? WriteFlow.commit(view, writeDemand(request, id), transaction.target)
-            : new StatementFlow(transaction.target, statement(request));
-    return true;
-  }
-
-  private TargetRequest statement(HomeRequest request) {
-    boolean rollback = request.request.op() == HomeOp.ROLLBACK;
-    return TargetRequest.builder()
-        .op(rollback ? TargetOp.ROLLBACK : TargetOp.STATEMENT)
-        .term(view.term())
-        .organisation(request.request.organisation())
-        .sql(request.request.sql())
-        .params(request.request.params())
-        .build();
-  }
-
-  private static ReadDemand readDemand(HomeRequest request, long nowNanos) {
-    return new ReadDemand(
-        request.request.organisation(),
-        request.request.sql(),
-        request.request.params(),
-        request.request.sessionPosition(),
-        request.request.maxAgeMs(),
-        nowNanos,
-        request.deadlineNanos);
-  }
-
-  private static WriteDemand writeDemand(HomeRequest request, String requestId) {
-    boolean commit = request.request.op() == HomeOp.COMMIT;
-    return new WriteDemand(
-        request.request.organisation(),
-        commit ? null : request.request.sql(),
-        request.request.params(),
-        requestId,
-        request.deadlineNanos);
-  }
-
   private void take(HomeRequest request, Step step, long nowNanos) {
     if (step instanceof Step.Ask ask) {
       waiting.remove(request);
@@ -284,8 +211,7 @@
         take(request, request.flow.answered(ask.target(), answer, sentNanos, nowNanos), nowNanos);
         resumeWaiting(nowNanos, false);
         if (answer.position() != null) {
-          awaited = Positions.later(awaited, answer.position());
-          poll(nowNanos);
+          poller.await(answer.position(), nowNanos);
         }
       }
 
@@ -390,51 +316,4 @@
       }
     }
   }
-
-  /** Asks targets for their positions where no other exchange has told them lately. */
-  private void poll(long nowNanos) {
-    boolean inUse = usedNanos != Long.MIN_VALUE && nowNanos - usedNanos < IN_USE_NANOS;
-    boolean unconfirmed = awaited.term() == view.term() && !view.confirmed(awaited);
-    if (!inUse || view.primary() == null) {
-      return;
-    }
-    for (TargetView target : view.targets()) {
-      boolean primary = target.id().equals(view.primary());
-      boolean awaits = unconfirmed && !primary;
-      Long last = polledNanos.get(target.id());
-      boolean recent = last != null && nowNanos - last < POLL_NANOS;
-      boolean heard = target.heardWithin(POLL_NANOS, nowNanos);
-      if (awaits || (!recent && !(primary && heard))) {
-        pollTarget(target.id(), awaits, nowNanos);
-      }
-    }
-  }
-
-  private void pollTarget(String target, boolean awaits, long nowNanos) {
-    TargetRequest request =
-        TargetRequest.builder()
-            .op(awaits ? TargetOp.AWAIT : TargetOp.STATUS)
-            .term(view.term())
-            .position(awaits ? awaited : null)
-            .waitMs(awaits ? AWAIT_MS : 0)
-            .build();
-    boolean sent =
-        channels
-            .get(target)
-            .exchange(
-                request,
-                false,
-                POLL_TIMEOUT_MS,
-                (answer, sentNanos) -> {
-                  if (answer != null) {
-                    observe(target, answer, sentNanos, System.nanoTime());
-                    poll(System.nanoTime());
-                  } else {
-                    onSilentPoll.accept(target);
-                  }
-                });
-    if (sent) {
-      polledNanos.put(target, nowNanos);
-    }
-  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
@@ -90,7 +90,8 @@
       Set<String> newLeavingTargets) {
     duty.submit(
         () -> {
-          boolean placed = homes != null && homes.settings() == newSettings && slot == newSlot;
+          final boolean placed =
+              homes != null && homes.settings() == newSettings && slot == newSlot;
           slot = newSlot;
           share = newShare;
           slotHolders = Map.copyOf(liveSlotHolders);
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/TargetPool.java
@@ -163,8 +163,11 @@
             (answer, failure) ->
                 duty.submit(
                     () -> {
-                      long tookNanos = System.nanoTime() - sentNanos;
-                      serviceNanos += SERVICE_SMOOTHING * (tookNanos - serviceNanos);
+                      if (answer != null) {
+                        // Time-outs say nothing of how long service takes.
+                        long tookNanos = System.nanoTime() - sentNanos;
+                        serviceNanos += SERVICE_SMOOTHING * (tookNanos - serviceNanos);
+                      }
                       if (giveBack) {
                         giveBack(connection, organisation);
                       }
--- a/proxy/src/test/java/io/hickorydrift/proxy/KeysAndSettingsTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/KeysAndSettingsTest.java
@@ -62,7 +62,7 @@
   @Test
   void withdrawnKeyStopsForConnectedCallersAndOpenTransactions() {
     CallerClient caller = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
-    String transaction = caller.call(at(0), "transaction-0", null).transaction();
+    final String transaction = caller.call(at(0), "transaction-0", null).transaction();
     assertThat(caller.call(at(1), "read-0", "SELECT 1").code()).isZero();
 
     long startNanos = System.nanoTime();
@@ -153,6 +153,21 @@
     assertThatThrownBy(() -> team.subtree("other")).isInstanceOf(ProxyException.class);
   }
 
+  @Test
+  void instanceThatStartsLateReadsTheSnapshotAndFewEntries() {
+    long revision = fleet.operator(0).subtree(FleetPlan.TEAM).revision();
+    for (int i = 0; i < 260; i++) {
+      revision = fleet.operator(0).change(FleetPlan.TEAM, change(revision, "s" + i, i + 1)).entry();
+    }
+    long newest = revision;
+    long watchesBefore = fleet.platform().calls().get("watch");
+    Instance late = fleet.addInstance();
+    fleet.await("newest settings", () -> late.status().configEntry() == newest);
+    assertThat(fleet.platform().calls().get("watch") - watchesBefore).isLessThan(100);
+    assertThat(late.control().config().settings().organisations())
+        .isEqualTo(fleet.instances().get(0).control().config().settings().organisations());
+  }
+
   @Test
   void instanceRestartedDuringAnOutageLearnsTheSettingsFromPeers() {
     fleet.platform().setFaults(new PlatformFaults(true, 0, false));
--- a/proxy/src/test/java/io/hickorydrift/proxy/SilentConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/SilentConnectionTest.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.message.CallerAnswer;
 import io.hickorydrift.proxy.bench.CallerClient;
 import io.hickorydrift.proxy.bench.FleetPlan;
 import io.hickorydrift.proxy.bench.LocalFleet;
+import io.hickorydrift.standin.platform.PlatformFaults;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -113,6 +116,47 @@
     assertThat(read(1, "SELECT COUNT(*) FROM t").rows().toString()).isEqualTo("[[7]]");
   }
 
+  /** What instance 2 and target 2 see when their failure domain is cut off from all else. */
+  @Test
+  void cutOffDomainServesReadsOfAnyAgeAndRefusesTheRestTruthfully() {
+    assertThat(write(0, "INSERT INTO t VALUES ('seen')").code()).isZero();
+    assertThat(read(2, "SELECT COUNT(*) FROM t").rows().toString()).isEqualTo("[[1]]");
+    String own = FleetPlan.targetId(0, 2);
+    fleet.await("replica has the row", () -> fleet.targets().get(own).lastEntry().index() >= 3);
+    fleet.platform().setFaults(new PlatformFaults(true, 0, false));
+    relays.forEach(
+        (id, relay) -> {
+          if (!id.equals(own) && !id.equals("i-2")) {
+            relay.cut();
+          }
+        });
+    for (int i = 0; i < 5; i++) {
+      CallerAnswer any = read(2, "SELECT COUNT(*) FROM t");
+      assertThat(any.code()).as(any.message()).isZero();
+      assertThat(any.rows().toString()).isEqualTo("[[1]]");
+      assertThat(any.target()).isEqualTo(own);
+    }
+    CallerAnswer aged =
+        caller
+            .call(
+                fleet.instances().get(2).callersAddress(),
+                "read-0",
+                null,
+                CallerClient.body("SELECT 1", 100L, DEADLINE_MS))
+            .join();
+    assertThat(aged.code())
+        .isIn((long) ResultCode.TOO_STALE.number(), (long) ResultCode.NO_TARGET.number());
+    CallerAnswer written = write(2, "INSERT INTO t VALUES ('cut off')");
+    assertThat(written.code()).isNotZero();
+    relays.values().forEach(TcpRelay::heal);
+    fleet.platform().setFaults(PlatformFaults.NONE);
+    CallerAnswer again = write(2, "INSERT INTO t VALUES ('healed')");
+    assertThat(again.code()).as(again.message()).isZero();
+    boolean ran = written.code() == ResultCode.OUTCOME_UNKNOWN.number();
+    assertThat(read(0, "SELECT COUNT(*) FROM t").rows().toString())
+        .isIn(ran ? List.of("[[2]]", "[[3]]") : List.of("[[2]]"));
+  }
+
   @Test
   void instanceCutFromItsPeersServesItsGroupAlone() {
     for (int i = 0; i < 3; i++) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/intake/BadInputTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/intake/BadInputTest.java
@@ -66,7 +66,7 @@
         "read-0   | local-key-0 | -                        | null                        | 100",
         "read-0   | local-key-0 | -                        | {\"sql\":\"\"}              | 100",
         "read-0   | local-key-0 | -                        | {\"sql\":7,\"params\":{}}   | 100",
-        "read-0   | local-key-0 | -                        | {\"sql\":\"SELECT 1\",\"deadlineMs\":0} | 100",
+        "read-0   | local-key-0 | - | {\"sql\":\"SELECT 1\",\"deadlineMs\":0} | 100",
         "read-0   | local-key-0 | -                        | {\"sql\":\"SELEKT\"}        | 105",
         "nothing  | local-key-0 | -                        | {\"sql\":\"SELECT 1\"}      | 102",
         "nothing  | wrong       | -                        | {\"sql\":\"SELECT 1\"}      | 200",
--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.core.config.SettingsDiff;
 import io.hickorydrift.core.error.Outcome;
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.message.CallerAnswer;
+import io.hickorydrift.core.message.SectionChange;
 import io.hickorydrift.proxy.bench.CallerClient;
 import io.hickorydrift.proxy.bench.FleetPlan;
 import io.hickorydrift.proxy.bench.LocalFleet;
@@ -22,13 +24,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -106,9 +112,8 @@
   }
 
   private void apply(String team, String declaration) {
-    List<io.hickorydrift.core.message.SectionChange> changes =
-        io.hickorydrift.core.config.SettingsDiff.between(
-            new java.util.TreeMap<>(), IniFile.parse(team, declaration));
+    List<SectionChange> changes =
+        SettingsDiff.between(new TreeMap<>(), IniFile.parse(team, declaration));
     operator(0).change(team, new Change(0, UUID.randomUUID().toString(), changes));
   }
 
@@ -180,9 +185,9 @@
 
   @Test
   void killedInstanceLosesAndDoublesNothing() throws Exception {
-    Map<String, ResultCode> outcomes = new java.util.concurrent.ConcurrentHashMap<>();
+    Map<String, ResultCode> outcomes = new ConcurrentHashMap<>();
     AtomicBoolean stop = new AtomicBoolean();
-    CompletableFuture<Void> writer =
+    final CompletableFuture<Void> writer =
         CompletableFuture.runAsync(
             () -> {
               for (int i = 0; !stop.get(); i++) {
@@ -216,7 +221,7 @@
     int instance = turn % 2 == 0 ? 0 : 2;
     try {
       return ResultCode.of(insert(instance, id).join().code());
-    } catch (java.util.concurrent.CompletionException e) {
+    } catch (CompletionException e) {
       return ResultCode.OUTCOME_UNKNOWN;
     }
   }
@@ -232,7 +237,7 @@
   @Test
   void gracefulStopCutsNoRequest() throws Exception {
     AtomicBoolean stop = new AtomicBoolean();
-    List<ResultCode> codes = java.util.Collections.synchronizedList(new ArrayList<>());
+    List<ResultCode> codes = Collections.synchronizedList(new ArrayList<>());
     List<CompletableFuture<Void>> callers = new ArrayList<>();
     for (int c = 0; c < 4; c++) {
       int number = c;
