Call a full queue an overload only without earlier tries

Ruled out: the expected wait itself (2 ms).

Also: heartbeats once a second, whole every 30 s; the store's slope is split by relays and members, since the average over small fleets, where all are relays, misled; a measurement of homes against every instance; tests of open routes and of a transaction whose instance is killed.

Conclusion: a refusal names the cause that the flow has seen.

--- a/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
@@ -33,6 +33,7 @@
   private TargetAnswer held;
   private String heldTarget;
   private boolean foundStale;
+  private int answersAwaited;
 
   /** A read with {@code demand} on the group of {@code view}. */
   public ReadFlow(GroupView view, TargetChooser chooser, ReadDemand demand) {
@@ -48,6 +49,7 @@
 
   @Override
   public Step answered(String target, TargetAnswer answer, long sentNanos, long nowNanos) {
+    answersAwaited++;
     if (answer.status() == TargetStatus.SQL_ERROR) {
       return Answers.refuse(ResultCode.STATEMENT_FAILED, answer.message(), 0);
     }
@@ -66,11 +68,10 @@
   @Override
   public Step failed(String target, ExchangeFailure failure, long nowNanos) {
     tried.add(target);
+    answersAwaited += failure == ExchangeFailure.QUEUE_FULL ? 0 : 1;
     if (failure == ExchangeFailure.QUEUE_FULL) {
       List<TargetView> others = chooser.rank(view, demand, tried, nowNanos);
-      return others.isEmpty()
-          ? Answers.refuse(ResultCode.OVERLOADED, null, RETRY_AFTER_MS)
-          : ask(others.get(0));
+      return others.isEmpty() ? queueFull() : ask(others.get(0));
     }
     TargetView view = this.view.target(target);
     if (view != null) {
@@ -120,6 +121,13 @@
     return new Step.Wait(earlier(nowNanos + RETRY_NANOS, demand.deadlineNanos()));
   }
 
+  /** With tries behind it the request is short of time for another reason than the queue. */
+  private Step queueFull() {
+    return answersAwaited > 0
+        ? giveUp()
+        : Answers.refuse(ResultCode.OVERLOADED, null, RETRY_AFTER_MS);
+  }
+
   private Step giveUp() {
     ResultCode code = foundStale ? ResultCode.TOO_STALE : ResultCode.NO_TARGET;
     return Answers.refuse(code, null, RETRY_AFTER_MS);
--- a/core/src/main/java/io/hickorydrift/core/flow/WriteFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/WriteFlow.java
@@ -28,6 +28,7 @@
   private String commitTarget;
   private boolean claiming;
   private boolean mayHaveRun;
+  private boolean triedBefore;
   private TargetAnswer accepted;
   private String acceptedBy;
 
@@ -77,6 +78,7 @@
             ? unknown()
             : Answers.refuse(ResultCode.STATEMENT_FAILED, answer.message(), 0);
       default:
+        triedBefore = true;
         return wasCommit ? lost() : pause(nowNanos);
     }
   }
@@ -94,8 +96,11 @@
       return lost();
     }
     if (failure == ExchangeFailure.QUEUE_FULL && !mayHaveRun) {
-      return Answers.refuse(ResultCode.OVERLOADED, null, RETRY_AFTER_MS);
+      // With tries behind it the request is short of time for another reason than the queue.
+      ResultCode code = triedBefore ? ResultCode.NO_PRIMARY : ResultCode.OVERLOADED;
+      return Answers.refuse(code, null, RETRY_AFTER_MS);
     }
+    triedBefore = true;
     return pause(nowNanos);
   }
 
--- a/core/src/main/java/io/hickorydrift/core/routing/GroupView.java
+++ b/core/src/main/java/io/hickorydrift/core/routing/GroupView.java
@@ -2,7 +2,6 @@
 
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.message.TargetAnswer;
-import io.hickorydrift.core.position.Positions;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -104,11 +103,6 @@
     return position.term() == term && position.index() <= confirmedIndex;
   }
 
-  /** Returns the highest position of the current term known to be on a majority. */
-  public Position confirmedPosition() {
-    return confirmedIndex == 0 ? Positions.START : new Position(term, confirmedIndex);
-  }
-
   /** Returns a proven bound in nanoseconds of the age of data at {@code applied}, or -1. */
   public long ageNanos(Position applied, long nowNanos) {
     List<Long> proofs = new ArrayList<>();
--- a/core/src/test/java/io/hickorydrift/core/flow/ReadFlowTest.java
+++ b/core/src/test/java/io/hickorydrift/core/flow/ReadFlowTest.java
@@ -70,6 +70,23 @@
     assertThat(((Step.Finish) end).answer().code()).isEqualTo(ResultCode.TOO_STALE.number());
   }
 
+  @Test
+  void fullQueueIsOverloadOnlyWithoutEarlierTries() {
+    ReadFlow first = flow(99, -1, 1);
+    assertThat(asked(first.start(MS))).isEqualTo("p");
+    first.failed("p", ExchangeFailure.QUEUE_FULL, MS);
+    first.failed("r", ExchangeFailure.QUEUE_FULL, MS);
+    Step full = first.failed("s", ExchangeFailure.QUEUE_FULL, MS);
+    assertThat(((Step.Finish) full).answer().code()).isEqualTo(ResultCode.OVERLOADED.number());
+
+    ReadFlow later = flow(99, -1, 1);
+    later.start(MS);
+    later.failed("p", ExchangeFailure.NO_ANSWER, 1_998 * MS);
+    later.failed("r", ExchangeFailure.QUEUE_FULL, 1_999 * MS);
+    Step end = later.failed("s", ExchangeFailure.QUEUE_FULL, 1_999 * MS);
+    assertThat(((Step.Finish) end).answer().code()).isEqualTo(ResultCode.NO_TARGET.number());
+  }
+
   @Test
   void proofByMajorityMakesThePrimarysDataFresh() {
     ReadFlow flow = flow(1, 0, 1_000);
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CallerClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CallerClient.java
@@ -74,11 +74,6 @@
     return session;
   }
 
-  /** Shows this session token from now on. */
-  public void setSession(String token) {
-    session = token;
-  }
-
   private CallerAnswer read(HttpResponse<String> response) {
     CallerAnswer answer = Json.read(response.body(), CallerAnswer.class);
     if (answer.session() != null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacitySamples.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacitySamples.java
@@ -37,6 +37,11 @@
       double homeCpu,
       double allowanceCpu,
       double peerCpu) {
+    /** Part of the instances that are relays. */
+    double relayShare() {
+      return Math.min(1, (double) RELAYS / instances);
+    }
+
     /** Processor time that grows with links. */
     double cpu() {
       return controlCpu + peerCpu;
@@ -54,6 +59,10 @@
   private static final int[] SIZES = {2, 4, 7, 14, 28};
   private static final int[] GROUPS = {1, 8, 24};
   private static final int GROUP_FLEET = 3;
+
+  /** Relays of a plan's three failure domains. */
+  private static final int RELAYS = 6;
+
   private static final long SETTLE_MS = 5_000;
   private static final long MEASURE_MS = 8_000;
   private static final int READS = 20;
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
@@ -60,9 +60,12 @@
   }
 
   private void store(PrintStream out) {
-    double calls = average(samples.byInstances, Sample::storeCallsPerSecond);
-    String slope = "%.2f an instance".formatted(calls);
-    double fleet = calls * TargetSize.INSTANCES;
+    double relay = slope(samples.byInstances, Sample::relayShare, Sample::storeCallsPerSecond);
+    double member =
+        average(samples.byInstances, Sample::storeCallsPerSecond)
+            - relay * average(samples.byInstances, Sample::relayShare);
+    String slope = "%.2f an instance, %.2f more a relay".formatted(member, relay);
+    double fleet = member * TargetSize.INSTANCES + relay * 2 * TargetSize.DOMAINS;
     row(out, "store, reads and writes of the fleet, calls/s", slope, fleet, STORE_LIMIT);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/FleetPlan.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/FleetPlan.java
@@ -15,6 +15,7 @@
  * @param instances instances, spread over the domains in turn
  * @param groups database groups
  * @param targetsPerGroup targets of each group, one a domain in turn
+ * @param homesPerDomain homes of each group in a failure domain
  * @param organisations organisations, each with one key
  * @param ratePerSecond rate of each organisation
  * @param burst burst of each organisation
@@ -32,6 +33,7 @@
     int instances,
     int groups,
     int targetsPerGroup,
+    int homesPerDomain,
     int organisations,
     long ratePerSecond,
     long burst,
@@ -106,7 +108,8 @@
       }
     }
     for (int g = 0; g < groups; g++) {
-      text.append("[group ").append(group(g)).append("]\nhomes_per_domain = 1\n");
+      text.append("[group ").append(group(g)).append("]\nhomes_per_domain = ");
+      text.append(homesPerDomain).append("\n");
       for (int t = 0; t < targetsPerGroup; t++) {
         String id = targetId(g, t);
         text.append("[target ").append(id).append("]\ngroup = ").append(group(g));
@@ -143,6 +146,7 @@
     private int instances = 3;
     private int groups = 1;
     private int targetsPerGroup = 3;
+    private int homesPerDomain = 1;
     private int organisations = 2;
     private long ratePerSecond = 100_000;
     private long burst = 100_000;
@@ -173,6 +177,12 @@
       return this;
     }
 
+    /** Sets the number of homes of each group in a failure domain. */
+    public Builder homesPerDomain(int homesPerDomain) {
+      this.homesPerDomain = homesPerDomain;
+      return this;
+    }
+
     /** Sets the number of organisations. */
     public Builder organisations(int organisations) {
       this.organisations = organisations;
@@ -219,6 +229,7 @@
           instances,
           groups,
           targetsPerGroup,
+          homesPerDomain,
           organisations,
           ratePerSecond,
           burst,
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/HomesExperiment.java
@@ -0,0 +1,76 @@
+package io.hickorydrift.proxy.bench;
+
+import java.io.PrintStream;
+
+/** One home in each failure domain beside every instance being a home of its own. */
+public final class HomesExperiment implements Experiment {
+  private static final int INSTANCES = 7;
+  private static final int[] CALLERS = {7, 56};
+  private static final double WARM_UP_SECONDS = 2;
+  private static final double SECONDS = 5;
+  private static final long STATEMENT_MS = 2;
+
+  @Override
+  public String name() {
+    return "homes";
+  }
+
+  @Override
+  public String summary() {
+    return "one home a failure domain against every instance connecting for itself";
+  }
+
+  @Override
+  public void run(PrintStream out) throws Exception {
+    out.println("| connections | callers | operation | done/s | p50 ms | p99 ms | refused |");
+    out.println("|---|---|---|---|---|---|---|");
+    measure(out, "one home a domain", 1);
+    measure(out, "every instance", INSTANCES);
+  }
+
+  private static void measure(PrintStream out, String name, int homesPerDomain) throws Exception {
+    FleetPlan plan =
+        Deployments.lakeshore()
+            .groups(1)
+            .homesPerDomain(homesPerDomain)
+            .statementMs(STATEMENT_MS)
+            .connections(20, 30)
+            .build();
+    try (LocalFleet fleet = LocalFleet.start(plan)) {
+      CallerClient first = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+      first.call(fleet.instances().get(0).callersAddress(), "write-0", "CREATE TABLE t (n INT)");
+      for (int callers : CALLERS) {
+        load(fleet, callers, "read-0", "SELECT 1", WARM_UP_SECONDS);
+        print(out, name, callers, "read", load(fleet, callers, "read-0", "SELECT 1", SECONDS));
+        String insert = "INSERT INTO t VALUES (1)";
+        print(out, name, callers, "write", load(fleet, callers, "write-0", insert, SECONDS));
+      }
+    }
+  }
+
+  private static LoadResult load(
+      LocalFleet fleet, int callers, String route, String sql, double seconds) throws Exception {
+    return Load.closed(
+        callers,
+        seconds,
+        FleetPlan.key(0),
+        i ->
+            new Load.Call(
+                fleet.instances().get(i % INSTANCES).callersAddress(),
+                route,
+                CallerClient.body(sql, null, null)));
+  }
+
+  private static void print(
+      PrintStream out, String name, int callers, String operation, LoadResult result) {
+    out.printf(
+        "| %s | %d | %s | %.0f | %.2f | %.2f | %s |%n",
+        name,
+        callers,
+        operation,
+        result.donePerSecond(),
+        result.percentileMs(50),
+        result.percentileMs(99),
+        result.refusals());
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.proxy.bench.Experiment;
 import io.hickorydrift.proxy.bench.FailoverExperiment;
 import io.hickorydrift.proxy.bench.FairnessExperiment;
+import io.hickorydrift.proxy.bench.HomesExperiment;
 import io.hickorydrift.proxy.bench.LatencyExperiment;
 import io.hickorydrift.proxy.bench.LimitsExperiment;
 import io.hickorydrift.proxy.bench.ReplicaReadsExperiment;
@@ -21,6 +22,7 @@
           new FailoverExperiment(),
           new LimitsExperiment(),
           new FairnessExperiment(),
+          new HomesExperiment(),
           new SettingsExperiment(),
           new CapacityExperiment());
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -30,6 +30,7 @@
 import io.hickorydrift.proxy.target.TargetConnector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -84,7 +85,7 @@
     this.instance = instance;
     this.platform = platform;
     duty = new Duty("control-" + instance.id(), RING_SIZE);
-    TokenMac secret = new TokenMac(instance.fleetSecret().getBytes());
+    TokenMac secret = new TokenMac(instance.fleetSecret().getBytes(StandardCharsets.UTF_8));
     peers = new PeerNetwork(instance.id(), address(instance.peersListen()), secret, this);
     allowance = new AllowanceService(instance.id(), policy.limits(), peers, timer);
     reservations = new TermReservations(platform, timer, run);
@@ -112,6 +113,7 @@
             membership::sendToDomain,
             this::settingsChanged);
     timer.subscribe(duty, TICK_MS, this::tick);
+    peers.start();
   }
 
   private static InetSocketAddress address(String text) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
@@ -33,10 +33,10 @@
  * <p>Thread safety: confined to the control duty.
  */
 final class MembershipService {
-  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-  private static final long FULL_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final long HEARTBEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long FULL_NANOS = TimeUnit.SECONDS.toNanos(30);
   private static final long DIGEST_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final long LIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+  private static final long LIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
   private static final long DIGEST_LIVE_NANOS = TimeUnit.SECONDS.toNanos(15);
   private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(10);
   private static final int RELAYS_PER_DOMAIN = 2;
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/TermReservations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/TermReservations.java
@@ -9,6 +9,7 @@
 import io.hickorydrift.proxy.runtime.TimerService;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 
 /**
@@ -88,8 +89,7 @@
             });
   }
 
-  private java.util.concurrent.CompletableFuture<StoredValue> swap(
-      String group, StoredValue read, GroupRecord record) {
+  private CompletableFuture<StoredValue> swap(String group, StoredValue read, GroupRecord record) {
     long version = read == null ? 0 : read.version();
     return platform.swap(KEY_PREFIX + group, Json.write(record), version);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/intake/OperatorHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/OperatorHandler.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpMethod;
@@ -150,7 +151,7 @@
             });
   }
 
-  private java.util.concurrent.CompletableFuture<Long> change(String team, byte[] body) {
+  private CompletableFuture<Long> change(String team, byte[] body) {
     Change change;
     try {
       change = Json.read(new String(body, StandardCharsets.UTF_8), Change.class);
--- a/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerNetwork.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerNetwork.java
@@ -26,7 +26,7 @@
   private final AtomicLong messagesSent = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
 
-  /** Listens on {@code address}. */
+  /** Takes {@code address}; links are accepted from {@link #start} on. */
   public PeerNetwork(String self, InetSocketAddress address, TokenMac fleet, PeerListener listener)
       throws IOException {
     this.self = self;
@@ -35,6 +35,11 @@
     server = new PeerServer(self, address, fleet, listener);
   }
 
+  /** Starts to take links from peers. */
+  public void start() {
+    server.start();
+  }
+
   /** Returns host and port for links from peers. */
   public String address() {
     return server.address();
--- a/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
@@ -37,6 +37,10 @@
     this.fleet = fleet;
     this.listener = listener;
     server = new ServerSocket(address.getPort(), MAX_LINKS, InetAddress.getByName(host(address)));
+  }
+
+  /** Starts to take links. */
+  void start() {
     Thread thread = new Thread(this::acceptLoop, "peer-accept-" + self);
     thread.setDaemon(true);
     thread.start();
--- a/proxy/src/test/java/io/hickorydrift/proxy/KeysAndSettingsTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/KeysAndSettingsTest.java
@@ -138,6 +138,28 @@
         .matches(e -> ((ProxyException) e).code() == ResultCode.SETTINGS_UNKNOWN);
   }
 
+  @Test
+  void openRouteNeedsNoKeyAndOtherTeamsRoutesAreForbidden() {
+    String open = "[route status]\ngroup = group-0\naccess = read\nopen_as = org-0\n";
+    String digest = KeyDigest.of("visitor");
+    String visitors =
+        "[organisation visitors]\nrate_per_s = 10\n[key v]\norganisation = visitors\n"
+            + "digest = "
+            + digest
+            + "\n";
+    fleet.apply(FleetPlan.TEAM, plan.teamDeclaration() + open);
+    long entry = fleet.apply("guests", visitors);
+    fleet.await("in force", () -> inForceEverywhere(entry));
+    CallerClient nobody = new CallerClient(CallerClient.newHttp(), null);
+    CallerClient visitor = new CallerClient(CallerClient.newHttp(), "visitor");
+
+    assertThat(nobody.call(at(0), "status", "SELECT 1").code()).isZero();
+    assertThat(nobody.call(at(0), "read-0", "SELECT 1").code())
+        .isEqualTo(ResultCode.KEY_REFUSED.number());
+    assertThat(visitor.call(at(1), "read-0", "SELECT 1").code())
+        .isEqualTo(ResultCode.ROUTE_FORBIDDEN.number());
+  }
+
   @Test
   void teamsCredentialReachesItsOwnSubtreeOnly() {
     String fleetText = IniFile.write(fleet.operator(0).subtree("fleet").sections());
--- a/proxy/src/test/java/io/hickorydrift/proxy/peer/PeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/peer/PeerLinkTest.java
@@ -105,7 +105,10 @@
 
   private static PeerNetwork network(String name, TokenMac secret, Collector collector)
       throws IOException {
-    return new PeerNetwork(name, new InetSocketAddress("127.0.0.1", 0), secret, collector);
+    PeerNetwork network =
+        new PeerNetwork(name, new InetSocketAddress("127.0.0.1", 0), secret, collector);
+    network.start();
+    return network;
   }
 
   @Test
--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
@@ -207,6 +207,7 @@
     List<String> rows = rows();
     Set<String> once = new HashSet<>(rows);
     assertThat(rows).hasSameSizeAs(once);
+    assertThat(once).as("a transaction that nobody committed").doesNotContain("open");
     outcomes.forEach(
         (id, code) -> {
           if (code == ResultCode.OK) {
