Probe idle groups every 3 s; one place for refusals and pauses

The table judged rows one by one.

Change: the primary of a group that no request used for 5 s is probed every 3 s, and every 200 ms again from the first request or the first failed probe on. The table has sums for a member and a relay, and counts the bytes of probes. Refusal and Pause stand in place of four and three copies.

Ruled out: fewer observers (two have to suspect, and one may be lost with the primary's domain).

Conclusion: homes stay; sums are what a limit is held against.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
@@ -37,6 +37,7 @@
   private long suspectedSinceNanos;
   private boolean suspecting;
   private boolean reserving;
+  private boolean inUse = true;
   private Promotion promotion;
   private long backOffUntilNanos = Long.MIN_VALUE;
 
@@ -53,6 +54,14 @@
     observers = List.copyOf(ranked);
   }
 
+  /** Sets whether requests use the group; the primary of an idle one is probed less often. */
+  public void setInUse(boolean newInUse, long nowNanos) {
+    if (newInUse && !inUse) {
+      nextProbeNanos = nowNanos;
+    }
+    inUse = newInUse;
+  }
+
   /** Returns the term that this run owns for the next promotion, 0 for none. */
   public long reservedTerm() {
     return reservedTerm;
@@ -166,14 +175,16 @@
     }
     nextProbeNanos = nowNanos + times.probeIntervalNanos() + times.probeTimeoutNanos();
     TargetView primary = view.target(view.primary());
+    long intervalNanos =
+        inUse || watch.needsFreshProbe() ? times.probeIntervalNanos() : times.idleProbeNanos();
     if (primary != null && primary.heardWithin(times.probeIntervalNanos(), nowNanos)) {
       // Other exchanges have just shown that it lives.
       watch.probed(true, false);
-      nextProbeNanos = nowNanos + times.probeIntervalNanos();
+      nextProbeNanos = nowNanos + intervalNanos;
       return;
     }
     if (primary != null && !watch.suspects()) {
-      nextProbeNanos = nowNanos + times.probeIntervalNanos();
+      nextProbeNanos = nowNanos + intervalNanos;
       actions.add(new FailoverAction.Probe(view.primary(), watch.needsFreshProbe()));
       return;
     }
--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverTimes.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverTimes.java
@@ -6,6 +6,7 @@
  * <p>Thread safety: immutable.
  *
  * @param probeIntervalNanos between probes of a healthy primary
+ * @param idleProbeNanos between probes of the primary of a group that nobody uses
  * @param probeTimeoutNanos after which a probe has failed
  * @param freshRetryNanos between failed probes on fresh connections
  * @param suspicionNanos how long another observer's suspicion counts
@@ -14,6 +15,7 @@
  */
 public record FailoverTimes(
     long probeIntervalNanos,
+    long idleProbeNanos,
     long probeTimeoutNanos,
     long freshRetryNanos,
     long suspicionNanos,
@@ -23,5 +25,5 @@
 
   /** Times for failure domains a few milliseconds apart. */
   public static final FailoverTimes STANDARD =
-      new FailoverTimes(200 * MS, 250 * MS, 100 * MS, 2_000 * MS, 300 * MS, 800 * MS);
+      new FailoverTimes(200 * MS, 3_000 * MS, 250 * MS, 100 * MS, 2_000 * MS, 300 * MS, 800 * MS);
 }
--- a/core/src/main/java/io/hickorydrift/core/flow/Answers.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/Answers.java
@@ -19,13 +19,7 @@
   private Answers() {}
 
   static Step.Finish refuse(ResultCode code, String message, long retryAfterMs) {
-    return new Step.Finish(
-        ForwardAnswer.builder()
-            .code(code.number())
-            .ageMs(-1)
-            .retryAfterMs(retryAfterMs)
-            .message(message == null ? code.meaning() : message)
-            .build());
+    return new Step.Finish(Refusal.of(code, message, retryAfterMs));
   }
 
   static ForwardAnswer.Builder done(String target, String role, TargetAnswer answer) {
--- a/core/src/main/java/io/hickorydrift/core/flow/BeginFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/BeginFlow.java
@@ -15,7 +15,6 @@
  * <p>Thread safety: confined to one thread.
  */
 public final class BeginFlow implements Flow {
-  private static final long RETRY_NANOS = 20_000_000L;
   private static final long RETRY_AFTER_MS = 500;
 
   private final GroupView view;
@@ -71,8 +70,7 @@
     if (nowNanos - deadlineNanos >= 0) {
       return resume(nowNanos);
     }
-    long retryNanos = nowNanos + RETRY_NANOS;
-    return new Step.Wait(retryNanos - deadlineNanos < 0 ? retryNanos : deadlineNanos);
+    return Pause.before(deadlineNanos, nowNanos);
   }
 
   /** Returns the answer that names the opened transaction. */
--- a/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
@@ -21,7 +21,6 @@
  * <p>Thread safety: confined to one thread.
  */
 public final class ReadFlow implements Flow {
-  private static final long RETRY_NANOS = 20_000_000L;
   private static final long AVOID_NANOS = 500_000_000L;
   private static final long NANOS_PER_MS = 1_000_000L;
   private static final long RETRY_AFTER_MS = 200;
@@ -73,9 +72,9 @@
       List<TargetView> others = chooser.rank(view, demand, tried, nowNanos);
       return others.isEmpty() ? queueFull() : ask(others.get(0));
     }
-    TargetView view = this.view.target(target);
-    if (view != null) {
-      view.avoidUntil(nowNanos + AVOID_NANOS);
+    TargetView silent = view.target(target);
+    if (silent != null) {
+      silent.avoidUntil(nowNanos + AVOID_NANOS);
     }
     return next(nowNanos);
   }
@@ -91,7 +90,7 @@
     }
     if (heldTarget.equals(view.primary()) && nowNanos - demand.deadlineNanos() < 0) {
       // The primary's data is complete; only the proof that it still is the primary is missing.
-      return new Step.Wait(earlier(nowNanos + RETRY_NANOS, demand.deadlineNanos()));
+      return Pause.before(demand.deadlineNanos(), nowNanos);
     }
     foundStale = true;
     tried.add(heldTarget);
@@ -118,7 +117,7 @@
       return giveUp();
     }
     tried.clear();
-    return new Step.Wait(earlier(nowNanos + RETRY_NANOS, demand.deadlineNanos()));
+    return Pause.before(demand.deadlineNanos(), nowNanos);
   }
 
   /** With tries behind it the request is short of time for another reason than the queue. */
@@ -146,8 +145,4 @@
             .position(position)
             .build());
   }
-
-  private static long earlier(long left, long right) {
-    return left - right < 0 ? left : right;
-  }
 }
--- a/core/src/main/java/io/hickorydrift/core/flow/WriteFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/WriteFlow.java
@@ -20,7 +20,6 @@
  * claim of its id was confirmed. Thread safety: confined to one thread.
  */
 public final class WriteFlow implements Flow {
-  private static final long RETRY_NANOS = 20_000_000L;
   private static final long RETRY_AFTER_MS = 500;
 
   private final GroupView view;
@@ -151,9 +150,7 @@
     if (nowNanos - demand.deadlineNanos() >= 0) {
       return next(nowNanos);
     }
-    long retryNanos = nowNanos + RETRY_NANOS;
-    return new Step.Wait(
-        retryNanos - demand.deadlineNanos() < 0 ? retryNanos : demand.deadlineNanos());
+    return Pause.before(demand.deadlineNanos(), nowNanos);
   }
 
   private TargetRequest request(TargetOp op) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacitySamples.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacitySamples.java
@@ -71,6 +71,7 @@
   final List<Sample> byInstances = new ArrayList<>();
   final List<Sample> byGroups = new ArrayList<>();
   SettingsCost settings;
+  double exchangeBytes;
 
   private CapacitySamples() {}
 
@@ -102,6 +103,7 @@
       samples.byGroups.add(sample);
       print(out, sample);
     }
+    samples.exchangeBytes = exchangeBytes();
     samples.settings = settingsCost();
     return samples;
   }
@@ -146,6 +148,17 @@
     }
   }
 
+  /** Returns the average size of a request of an idle home to a target, headers included. */
+  private static double exchangeBytes() {
+    try (LocalFleet fleet = LocalFleet.start(FleetPlan.builder().build())) {
+      return fleet.targets().values().stream()
+          .flatMap(target -> target.received().stream())
+          .mapToInt(String::length)
+          .average()
+          .orElse(0);
+    }
+  }
+
   private static double links(LocalFleet fleet) {
     double links = 0;
     for (Instance instance : fleet.instances()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/CapacityTable.java
@@ -35,6 +35,32 @@
     homes(out);
     store(out);
     settings(out);
+    sums(out);
+  }
+
+  /** The limits are for all of control on a node, so the sums are what counts. */
+  private void sums(PrintStream out) {
+    double changes = TargetSize.CHANGES_PER_DAY / TargetSize.SECONDS_PER_DAY;
+    double linkBytes = slope(samples.byInstances, Sample::links, Sample::bytesPerSecond);
+    double groupBytes =
+        slope(samples.byGroups, Sample::groups, Sample::exchangesPerSecond)
+            * samples.exchangeBytes
+            * HOME_GROUPS;
+    double entries = changes * samples.settings.entryBytes() * NEAR;
+    String parts = "links and homes";
+    row(out, "**member in sum, bytes/s**", parts, linkBytes * NEAR + groupBytes, BYTES_LIMIT);
+    parts = "links, homes and entries";
+    double relayBytes = linkBytes * RELAY + groupBytes + entries;
+    row(out, "**relay in sum, bytes/s**", parts, relayBytes, BYTES_LIMIT);
+    double base = average(samples.byInstances, Sample::duties);
+    double link = slope(samples.byInstances, Sample::links, Sample::cpu);
+    double home = slope(samples.byGroups, Sample::groups, Sample::homeCpu) * HOME_GROUPS;
+    double settings = samples.settings.readMs() / MS_PER_SECOND * changes;
+    double cpu = 100 * (base + link * NEAR + home + settings);
+    parts = "duties, links, homes and changes";
+    row(out, "**member in sum, % of a core**", parts, cpu, CPU_LIMIT);
+    cpu += 100 * link * (RELAY - NEAR);
+    row(out, "**relay in sum, % of a core**", parts, cpu, CPU_LIMIT);
   }
 
   private void membership(PrintStream out) {
@@ -55,8 +81,9 @@
     String slope = "%.4f%% a group".formatted(cpu);
     row(out, role + "% of a core", slope, cpu * HOME_GROUPS, CPU_LIMIT);
     double exchanges = slope(samples.byGroups, Sample::groups, Sample::exchangesPerSecond);
-    slope = "%.2f a group".formatted(exchanges);
-    row(out, role + "exchanges/s", slope, exchanges * HOME_GROUPS, Double.NaN);
+    slope = "%.2f exchanges/s a group, %.0f bytes".formatted(exchanges, samples.exchangeBytes);
+    double bytes = exchanges * samples.exchangeBytes * HOME_GROUPS;
+    row(out, role + "bytes/s", slope, bytes, BYTES_LIMIT);
   }
 
   private void store(PrintStream out) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/FailoverExperiment.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/FailoverExperiment.java
@@ -23,6 +23,7 @@
           SECOND_NANOS,
           SECOND_NANOS,
           SECOND_NANOS,
+          SECOND_NANOS,
           4 * SECOND_NANOS,
           SECOND_NANOS,
           2 * SECOND_NANOS);
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.config.Settings;
 import io.hickorydrift.core.config.Settings.Group;
 import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.flow.Refusal;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
 import io.hickorydrift.core.message.HomeOp;
@@ -31,6 +32,7 @@
 public final class Router {
   private static final long GRACE_MS = 100;
   private static final long RETRY_PAUSE_MS = 50;
+  private static final long RETRY_AFTER_MS = 200;
 
   private final String self;
   private final String failureDomain;
@@ -136,7 +138,7 @@
   private void attempt(Attempt attempt, Settings settings) {
     Group group = settings.groups().get(attempt.request.group());
     if (group == null) {
-      attempt.answer(refusal(ResultCode.NO_HOME));
+      attempt.answer(Refusal.of(ResultCode.NO_HOME, RETRY_AFTER_MS));
       return;
     }
     long leftMs = TimeUnit.NANOSECONDS.toMillis(attempt.deadlineNanos - System.nanoTime());
@@ -176,7 +178,7 @@
   private void next(Attempt attempt, Settings settings) {
     if (attempt.request.transactionId() != null) {
       if (attempt.request.op() != HomeOp.COMMIT) {
-        attempt.answer(refusal(ResultCode.TRANSACTION_LOST));
+        attempt.answer(Refusal.of(ResultCode.TRANSACTION_LOST, RETRY_AFTER_MS));
         return;
       }
       // Another home can settle what became of the commit.
@@ -224,16 +226,8 @@
     boolean unknown =
         (sent || attempt.mayHaveRun)
             && (attempt.request.op() == HomeOp.WRITE || attempt.request.op() == HomeOp.COMMIT);
-    attempt.answer(refusal(unknown ? ResultCode.OUTCOME_UNKNOWN : ResultCode.NO_HOME));
-  }
-
-  private static ForwardAnswer refusal(ResultCode code) {
-    return ForwardAnswer.builder()
-        .code(code.number())
-        .ageMs(-1)
-        .message(code.meaning())
-        .retryAfterMs(200)
-        .build();
+    attempt.answer(
+        Refusal.of(unknown ? ResultCode.OUTCOME_UNKNOWN : ResultCode.NO_HOME, RETRY_AFTER_MS));
   }
 
   private static ForwardRequest withDeadline(ForwardRequest request, long deadlineMs) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/GroupObserver.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/GroupObserver.java
@@ -58,6 +58,7 @@
       retryReserveNanos = Long.MIN_VALUE;
       machine.reserved(0);
     }
+    machine.setInUse(home.inUse(nowNanos), nowNanos);
     run(machine.tick(nowNanos));
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/GroupPoller.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/GroupPoller.java
@@ -50,6 +50,11 @@
     usedNanos = nowNanos;
   }
 
+  /** Returns whether requests used the group lately. */
+  boolean inUse(long nowNanos) {
+    return usedNanos != Long.MIN_VALUE && nowNanos - usedNanos < IN_USE_NANOS;
+  }
+
   /** Has the replicas asked at once for {@code position}, which a write waits for. */
   void await(Position position, long nowNanos) {
     awaited = Positions.later(awaited, position);
@@ -58,9 +63,8 @@
 
   /** Asks targets for their positions where no other exchange has told them lately. */
   void poll(long nowNanos) {
-    boolean inUse = usedNanos != Long.MIN_VALUE && nowNanos - usedNanos < IN_USE_NANOS;
     boolean unconfirmed = awaited.term() == view.term() && !view.confirmed(awaited);
-    if (!inUse || view.primary() == null) {
+    if (!inUse(nowNanos) || view.primary() == null) {
       return;
     }
     for (TargetView target : view.targets()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeGroup.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.flow.BeginFlow;
 import io.hickorydrift.core.flow.ExchangeFailure;
+import io.hickorydrift.core.flow.Refusal;
 import io.hickorydrift.core.flow.Step;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.TargetAnswer;
@@ -91,6 +92,11 @@
     onSilentPoll = listener;
   }
 
+  /** Returns whether requests used the group lately. */
+  boolean inUse(long nowNanos) {
+    return poller.inUse(nowNanos);
+  }
+
   int openConnections() {
     int open = 0;
     for (TargetPool pool : pools.values()) {
@@ -107,7 +113,7 @@
   void serve(HomeRequest request, long nowNanos) {
     poller.used(nowNanos);
     if (!flows.prepare(request, nowNanos)) {
-      refuse(request, ResultCode.NO_TRANSACTION);
+      request.reply.accept(Refusal.of(ResultCode.NO_TRANSACTION, 0));
       return;
     }
     take(request, request.flow.start(nowNanos), nowNanos);
@@ -301,11 +307,6 @@
     request.reply.accept(answer);
   }
 
-  private static void refuse(HomeRequest request, ResultCode code) {
-    request.reply.accept(
-        ForwardAnswer.builder().code(code.number()).ageMs(-1).message(code.meaning()).build());
-  }
-
   private void resumeWaiting(long nowNanos, boolean onlyDue) {
     if (waiting.isEmpty()) {
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/home/HomeService.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.config.Settings.Organisation;
 import io.hickorydrift.core.config.Settings.Target;
 import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.flow.Refusal;
 import io.hickorydrift.core.limit.SlotShare;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
@@ -37,6 +38,7 @@
 public final class HomeService implements AutoCloseable {
   private static final int RING_SIZE = 32_768;
   private static final long TICK_MS = 5;
+  private static final long RETRY_AFTER_MS = 100;
   private static final double MIN_WEIGHT = 0.05;
 
   private final Duty duty;
@@ -77,7 +79,7 @@
   public void serve(ForwardRequest request, Consumer<ForwardAnswer> reply) {
     long arrivedNanos = System.nanoTime();
     if (!duty.offer(() -> start(request, arrivedNanos, reply))) {
-      reply.accept(refusal(ResultCode.OVERLOADED));
+      reply.accept(Refusal.of(ResultCode.OVERLOADED, RETRY_AFTER_MS));
     }
   }
 
@@ -143,7 +145,7 @@
   private void start(ForwardRequest request, long arrivedNanos, Consumer<ForwardAnswer> reply) {
     HomeGroup group = groups.get(request.group());
     if (group == null) {
-      reply.accept(refusal(ResultCode.NO_HOME));
+      reply.accept(Refusal.of(ResultCode.NO_HOME, RETRY_AFTER_MS));
       return;
     }
     long deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(request.deadlineMs());
@@ -159,15 +161,6 @@
     return Math.max(MIN_WEIGHT, Math.min(1, rate / settings.highestRatePerSecond()));
   }
 
-  private static ForwardAnswer refusal(ResultCode code) {
-    return ForwardAnswer.builder()
-        .code(code.number())
-        .ageMs(-1)
-        .message(code.meaning())
-        .retryAfterMs(100)
-        .build();
-  }
-
   private void reconcile() {
     Map<String, Group> wanted = new HashMap<>();
     for (Group group : homes.settings().groups().values()) {
