Commit the packages named target

Cause: a fresh clone did not compile. The ignore rule for Maven's output folders also matched the Java packages `target` of proxy and stand-in, so their sources and the target contract test were never committed. Found by running the first README command from a fresh clone.

Ruled out: the build itself (the work tree had the files).

Before: `bin/hickorydrift demo` from a fresh clone exits 1 (compilation error).

--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/target/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to targets. */
+package io.hickorydrift.proxy.target;
