Work out live peers once a tick

Each tick of the control duty built the table of live peers four times (membership, links, slot holders, names) and ranked the relays twice, and kept the relay's role in two places. ReadFlow counted tries where WriteFlow keeps a flag for the same question.

Change: MembershipService works out live peers and its role at its tick, the others read them; slot holders are derived from the same list. Both flows keep the flag triedBefore.

Ruled out: building a home's status less often than every 5 ms. It is waste too, but tests and operators read it right after a change.

The cost saved was not measured.

Conclusion: no bound, check or expectation changed. Peers between two ticks may be up to 100 ms older than before; nothing but whom to ask first goes by them.

--- a/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
+++ b/core/src/main/java/io/hickorydrift/core/flow/ReadFlow.java
@@ -32,7 +32,7 @@
   private TargetAnswer held;
   private String heldTarget;
   private boolean foundStale;
-  private int answersAwaited;
+  private boolean triedBefore;
 
   /** A read with {@code demand} on the group of {@code view}. */
   public ReadFlow(GroupView view, TargetChooser chooser, ReadDemand demand) {
@@ -48,7 +48,7 @@
 
   @Override
   public Step answered(String target, TargetAnswer answer, long sentNanos, long nowNanos) {
-    answersAwaited++;
+    triedBefore = true;
     if (answer.status() == TargetStatus.SQL_ERROR) {
       return Answers.refuse(ResultCode.STATEMENT_FAILED, answer.message(), 0);
     }
@@ -67,11 +67,11 @@
   @Override
   public Step failed(String target, ExchangeFailure failure, long nowNanos) {
     tried.add(target);
-    answersAwaited += failure == ExchangeFailure.QUEUE_FULL ? 0 : 1;
     if (failure == ExchangeFailure.QUEUE_FULL) {
       List<TargetView> others = chooser.rank(view, demand, tried, nowNanos);
       return others.isEmpty() ? queueFull() : ask(others.get(0));
     }
+    triedBefore = true;
     TargetView silent = view.target(target);
     if (silent != null) {
       silent.avoidUntil(nowNanos + AVOID_NANOS);
@@ -122,9 +122,7 @@
 
   /** With tries behind it the request is short of time for another reason than the queue. */
   private Step queueFull() {
-    return answersAwaited > 0
-        ? giveUp()
-        : Answers.refuse(ResultCode.OVERLOADED, null, RETRY_AFTER_MS);
+    return triedBefore ? giveUp() : Answers.refuse(ResultCode.OVERLOADED, null, RETRY_AFTER_MS);
   }
 
   private Step giveUp() {
--- a/core/src/main/java/io/hickorydrift/core/membership/Membership.java
+++ b/core/src/main/java/io/hickorydrift/core/membership/Membership.java
@@ -122,8 +122,13 @@
 
   /** Returns the live holders of slots that are not leaving, by slot. */
   public Map<Integer, String> slotHolders(long nowNanos) {
+    return slotHolders(live(nowNanos));
+  }
+
+  /** Returns the holders of slots among {@code peers} that are not leaving, by slot. */
+  public static Map<Integer, String> slotHolders(List<Heartbeat> peers) {
     Map<Integer, String> holders = new HashMap<>();
-    for (Heartbeat peer : live(nowNanos)) {
+    for (Heartbeat peer : peers) {
       if (peer.slot() >= 0 && !peer.leaving()) {
         holders.put((int) peer.slot(), peer.instance());
       }
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.config.Settings;
 import io.hickorydrift.core.config.Settings.Target;
+import io.hickorydrift.core.membership.Membership;
 import io.hickorydrift.core.message.Alive;
 import io.hickorydrift.core.message.ConfigEntries;
 import io.hickorydrift.core.message.ConfigRequest;
@@ -32,7 +33,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -68,7 +68,6 @@
   private final Router router;
   private Set<String> leavingTargets = Set.of();
   private boolean leaving;
-  private boolean relay;
   private boolean listing;
   private long listedNanos = Long.MIN_VALUE;
   private volatile List<Heartbeat> livePeers = List.of();
@@ -266,16 +265,15 @@
   private void tick(long nowNanos) {
     peers.closeSilent(nowNanos);
     membership.tick(nowNanos);
-    livePeers = membership.live(nowNanos);
+    livePeers = membership.live();
     slots.tick(nowNanos);
-    relay = membership.isRelay(nowNanos);
-    if (relay
+    if (membership.isRelay()
         && !listing
         && (listedNanos == Long.MIN_VALUE || nowNanos - listedNanos >= LIST_NANOS)) {
       listedNanos = nowNanos;
       listMachines();
     }
-    config.setRelay(relay);
+    config.setRelay(membership.isRelay());
     publishShare();
   }
 
@@ -293,7 +291,7 @@
 
   private void learnLeaving(LeavingTargets told) {
     // A relay reads the platform's list itself.
-    if (!relay) {
+    if (!membership.isRelay()) {
       leavingTargets = Set.copyOf(told.targets());
     }
   }
@@ -343,9 +341,9 @@
   private void publishShare() {
     long nowNanos = System.nanoTime();
     slot = slots.slot(nowNanos);
-    Map<Integer, String> holders = new HashMap<>(membership.slotHolders(nowNanos));
+    Map<Integer, String> holders = Membership.slotHolders(livePeers);
     List<String> live = new ArrayList<>();
-    for (Heartbeat peer : membership.live(nowNanos)) {
+    for (Heartbeat peer : livePeers) {
       live.add(peer.instance());
     }
     if (slot >= 0 && !leaving) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
@@ -52,6 +52,8 @@
   private final Map<String, ListedMachine> listed = new HashMap<>();
   private final Map<String, Sent> sentHeartbeats = new HashMap<>();
   private final Map<String, Sent> sentDigests = new HashMap<>();
+  private List<Heartbeat> live = List.of();
+  private boolean relay = true;
   private Set<String> linked = Set.of();
   private Sent toldNews;
   private long heartbeatNanos = Long.MIN_VALUE;
@@ -72,19 +74,14 @@
     membership = new Membership(self, failureDomain, LIVE_NANOS, DIGEST_LIVE_NANOS);
   }
 
-  /** Returns the live peers. */
-  List<Heartbeat> live(long nowNanos) {
-    return membership.live(nowNanos);
+  /** Returns the peers that were live at the last tick. */
+  List<Heartbeat> live() {
+    return live;
   }
 
-  /** Returns the live holders of slots, this instance left out. */
-  Map<Integer, String> slotHolders(long nowNanos) {
-    return membership.slotHolders(nowNanos);
-  }
-
-  /** Returns whether this instance passes news between its domain and the others. */
-  boolean isRelay(long nowNanos) {
-    return relays(failureDomain, near(nowNanos)).contains(self);
+  /** Returns whether this instance passed news between its domain and the others at that tick. */
+  boolean isRelay() {
+    return relay;
   }
 
   void heard(Heartbeat heartbeat, long nowNanos) {
@@ -144,8 +141,9 @@
 
   void tick(long nowNanos) {
     membership.forget(FORGET_NANOS, nowNanos);
-    boolean relay = isRelay(nowNanos);
-    link(relay, nowNanos);
+    live = membership.live(nowNanos);
+    relay = relays(failureDomain, near(nowNanos)).contains(self);
+    link();
     if (due(heartbeatNanos, HEARTBEAT_NANOS, nowNanos)) {
       heartbeatNanos = nowNanos;
       sendHeartbeats(nowNanos);
@@ -221,10 +219,10 @@
   }
 
   /** Keeps links to the own domain and the seeds, and a relay also to the other domains' relays. */
-  private void link(boolean relay, long nowNanos) {
+  private void link() {
     Map<String, String> addresses = new HashMap<>();
     SortedMap<String, Set<String>> domains = new TreeMap<>();
-    for (Heartbeat peer : membership.live(nowNanos)) {
+    for (Heartbeat peer : live) {
       addresses.put(peer.instance(), peer.peerAddress());
       domains.computeIfAbsent(peer.failureDomain(), name -> new TreeSet<>()).add(peer.instance());
     }
