Flush what was written before a connection opened

Cause: a request written while its connection was still opening was never sent, so that every call to the store ended without an answer. Left: refusals below the rate, since shares are equal while load is not.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -43,6 +43,7 @@
   private boolean reachable;
   private long troubleNanos;
   private boolean loaded;
+  private Status lastTrouble;
 
   StoreSync(
       EventLoop loop,
@@ -143,15 +144,17 @@
   private void answered() {
     if (!reachable) {
       reachable = true;
+      lastTrouble = null;
       Logger.info("event=store_reachable revision={}", revision);
     }
   }
 
   private void trouble(Status status, Runnable retry) {
-    if (reachable) {
+    if (status != lastTrouble) {
       Logger.warn("event=store_lost status={} proof_age_ms={}", status, declarations.proofAgeMs());
     }
     reachable = false;
+    lastTrouble = status;
     troubleNanos = loop.nowNanos();
     store.dropIdle();
     loop.after(RETRY_MS, retry);
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -79,6 +79,7 @@
   private void announce() {
     if (!closed) {
       handler.connected();
+      out();
     }
   }
 
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -0,0 +1,80 @@
+package io.hickorydrift.proxy.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+  private static final HttpRequest ASK = new HttpRequest("GET", "/page", Map.of(), "");
+
+  private final EventLoop loop = new EventLoop();
+  private final List<HttpResult> results = new ArrayList<>();
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  @Test
+  void callsOneAfterAnotherOnOneConnection() throws IOException {
+    String address = freeAddress();
+    List<TcpChannel> accepted = new ArrayList<>();
+    new TcpListener(
+        loop,
+        address,
+        channel -> {
+          accepted.add(channel);
+          return new HttpResponder(channel, path -> new HttpResponder.Page(200, "you: " + path));
+        });
+    HttpClient client = new HttpClient(loop, address);
+    client.call(
+        ASK,
+        2_000,
+        first -> {
+          results.add(first);
+          client.call(
+              ASK,
+              2_000,
+              second -> {
+                results.add(second);
+                loop.stop();
+              });
+        });
+    loop.after(5_000, loop::stop);
+    loop.run();
+    assertThat(results).extracting(HttpResult::status).containsExactly(200, 200);
+    assertThat(new String(results.get(1).body(), StandardCharsets.UTF_8)).isEqualTo("you: /page");
+    assertThat(accepted).hasSize(1);
+  }
+
+  @Test
+  void endsCallsThatGetNoAnswer() throws IOException {
+    String address = freeAddress();
+    new TcpListener(
+        loop,
+        address,
+        channel ->
+            new ChannelHandler() {
+              @Override
+              public void received(java.nio.ByteBuffer in) {
+                in.position(in.limit());
+              }
+
+              @Override
+              public void closed(String reason) {
+                loop.stop();
+              }
+            });
+    new HttpClient(loop, address).call(ASK, 50, results::add);
+    loop.after(5_000, loop::stop);
+    loop.run();
+    assertThat(results).extracting(HttpResult::status).containsExactly(HttpResult.NO_ANSWER);
+  }
+}
