--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -174,11 +174,10 @@
       malformed("transaction already open");
       return;
     }
-    Admission admission = admit();
-    if (admission.refusal() != null) {
-      refuse(statement, admission);
-      return;
-    }
+    admit(statement, admission -> beginAdmitted(statement, admission));
+  }
+
+  private void beginAdmitted(Statement statement, Admission admission) {
     transaction =
         new Transaction(
             context,
@@ -217,11 +216,10 @@
       inTransaction(statement);
       return;
     }
-    Admission admission = admit();
-    if (admission.refusal() != null) {
-      refuse(statement, admission);
-      return;
-    }
+    admit(statement, admission -> executeAdmitted(statement, admission));
+  }
+
+  private void executeAdmitted(Statement statement, Admission admission) {
     running = true;
     if (data.writes(statement)) {
       new WriteRun(
@@ -259,15 +257,39 @@
     transaction.run(statement, receivedNanos, outcome -> finished(statement, outcome));
   }
 
-  private Admission admit() {
+  private void admit(Statement statement, Consumer<Admission> onAdmitted) {
     Admission admission = admitKey();
     if (admission.refusal() != null) {
-      return admission;
-    }
-    if (!context.limits().tryTake(admission.organisation())) {
-      return Admission.refused(FailureCode.BUSY, "rate used up; come back in 200 ms");
+      refuse(statement, admission);
+      return;
     }
-    return admission;
+    running = true;
+    context
+        .limits()
+        .request(
+            admission.organisation(),
+            new RateLimits.Listener() {
+              @Override
+              public void admitted() {
+                running = false;
+                if (!channel.isClosed()) {
+                  onAdmitted.accept(admission);
+                  handleNext();
+                }
+              }
+
+              @Override
+              public void refused(long retryAfterMs) {
+                running = false;
+                if (!channel.isClosed()) {
+                  refuse(
+                      statement,
+                      Admission.refused(
+                          FailureCode.BUSY, "rate used up; come back in " + retryAfterMs + " ms"));
+                  handleNext();
+                }
+              }
+            });
   }
 
   private Admission admitKey() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -14,6 +14,7 @@
   private final EventLoop loop;
   private final long keyValidityNanos;
   private Declaration current = Declaration.NONE;
+  private byte[] stored;
   private long provenNanos;
   private boolean proven;
 
@@ -28,8 +29,13 @@
     return current;
   }
 
-  /** Takes in a version unless a newer one is in force. */
-  void accept(Declaration declaration) {
+  /** Returns the declaration in force as it stood in the store, or null. */
+  byte[] stored() {
+    return stored;
+  }
+
+  /** Takes in a version unless a newer one is in force; {@code value} is how it was stored. */
+  void accept(Declaration declaration, byte[] value) {
     if (declaration.version() <= current.version()) {
       return;
     }
@@ -40,6 +46,7 @@
         declaration.routes().size(),
         declaration.organisations().size());
     current = declaration;
+    stored = value;
   }
 
   /** The store, asked at {@code askedNanos}, had nothing newer than what is in force. */
@@ -55,6 +62,13 @@
     return proven && loop.nowNanos() - provenNanos < keyValidityNanos;
   }
 
+  /** Returns for how long keys are still good without another proof, in milliseconds. */
+  long proofLeftMs() {
+    return proven
+        ? TimeUnit.NANOSECONDS.toMillis(provenNanos + keyValidityNanos - loop.nowNanos())
+        : 0;
+  }
+
   /** Returns the age of the last proof in milliseconds, -1 without one. */
   long proofAgeMs() {
     return proven ? TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - provenNanos) : -1;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
@@ -8,8 +8,10 @@
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import io.hickorydrift.proxy.port.KeyValueStore.Write;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -29,7 +31,7 @@
   private final KeyValueStore store;
   private final String instance;
   private final String address;
-  private final Set<String> members = new HashSet<>();
+  private final Map<String, String> members = new HashMap<>();
   private long lease;
   private boolean leaving;
 
@@ -50,14 +52,32 @@
   }
 
   void take(Item item) {
-    boolean changed = item.value() == null ? members.remove(item.key()) : members.add(item.key());
-    if (changed) {
-      Logger.info("event=fleet_changed size={} key={}", members.size(), item.key());
+    String name = item.key().substring(PREFIX.length());
+    String now = item.value() == null ? null : new String(item.value(), StandardCharsets.UTF_8);
+    String before = now == null ? members.remove(name) : members.put(name, now);
+    if (!Objects.equals(before, now)) {
+      Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
     }
+    if (now == null && name.equals(instance) && !leaving) {
+      Logger.warn("event=own_entry_lost instance={}", name);
+      join();
+    }
+  }
+
+  /** Returns whether this instance's entry stands. */
+  boolean belongs() {
+    return members.containsKey(instance);
+  }
+
+  /** Returns the addresses of the other instances by id. */
+  Map<String, String> others() {
+    Map<String, String> others = new HashMap<>(members);
+    others.remove(instance);
+    return others;
   }
 
   void retain(Set<String> kept) {
-    members.retainAll(kept);
+    members.keySet().removeIf(name -> !kept.contains(PREFIX + name));
   }
 
   /** Enters this instance and keeps its entry. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
+import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.HttpResponder;
 import io.hickorydrift.proxy.net.HttpResponder.Page;
@@ -37,6 +38,9 @@
   private final Fleet fleet;
   private final Pools pools;
   private final StoreSync sync;
+  private final PrimaryWatch watch;
+  private final Peers peers;
+  private final RateLimits limits;
   private final GatewayContext context;
   private boolean stopping;
 
@@ -48,7 +52,10 @@
     KeyValueStore store = platform.store(loop, settings.storeAddress());
     fleet = new Fleet(loop, store, settings.id(), settings.peersListen());
     pools = new Pools(loop, platform.targetCodec(), declarations, fleet);
-    Directory directory = new Directory(pools::removed);
+    Directory directory = new Directory(this::removed);
+    watch = new PrimaryWatch(loop, directory, pools, declarations);
+    peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, watch);
+    limits = new RateLimits(loop, declarations, fleet, peers);
     sync = new StoreSync(loop, store, platform, declarations, directory, fleet);
     context =
         new GatewayContext(
@@ -58,7 +65,7 @@
             directory,
             new ReadPlacement(settings.failureDomain()),
             pools,
-            new RateLimits(loop, declarations, fleet),
+            limits,
             new RequestLog(loop));
   }
 
@@ -69,6 +76,8 @@
     new TcpListener(loop, settings.callersListen(), this::session);
     new TcpListener(
         loop, settings.readinessListen(), channel -> new HttpResponder(channel, this::readiness));
+    new TcpListener(loop, settings.peersListen(), peers::serve);
+    peers.start(limits);
     sync.start();
     fleet.join();
     loop.every(TICK_MS, this::tick);
@@ -76,6 +85,11 @@
     Logger.info("event=stopped instance={}", settings.id());
   }
 
+  private void removed(TargetState target) {
+    pools.removed(target);
+    watch.removed(target);
+  }
+
   private CallerSession session(TcpChannel channel) {
     CallerSession session = new CallerSession(context, channel, sessions::remove);
     sessions.add(session);
@@ -96,6 +110,8 @@
   private void tick() {
     long nowNanos = loop.nowNanos();
     pools.tick(nowNanos);
+    limits.tick(nowNanos);
+    watch.tick(nowNanos);
     for (CallerSession session : List.copyOf(sessions)) {
       session.tick(nowNanos);
     }
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -0,0 +1,53 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.message.GrantAnswer;
+import io.hickorydrift.core.message.GrantRequest;
+import io.hickorydrift.core.message.Position;
+import java.util.List;
+
+/**
+ * What gateway instances say to each other. A link carries questions of the side that opened it and
+ * the answers to them.
+ *
+ * <p>Thread safety: immutable as long as their collections are.
+ */
+sealed interface PeerMessage {
+  /** Asks for a {@link Pong}. */
+  record Ping(String instance, long sequence) implements PeerMessage {}
+
+  /**
+   * Answers a ping. Ages count back from the moment of sending, so that the asker may count them
+   * from when it sent the ping.
+   *
+   * @param sequence of the ping
+   * @param version version of the declaration in force
+   * @param proofAgeMs age of the proof that it is the newest; -1 without one
+   * @param groups what is known of each group's primary
+   */
+  record Pong(long sequence, long version, long proofAgeMs, List<GroupNews> groups)
+      implements PeerMessage {}
+
+  /**
+   * What an instance knows of a group's primary.
+   *
+   * @param group the group
+   * @param position newest position seen at its primary, or null
+   * @param ageMs age of that sighting
+   * @param primary id of the primary that it believes in, or empty
+   * @param unreachableMs how long it has not been able to reach it; 0 if it can
+   */
+  record GroupNews(
+      String group, Position position, long ageMs, String primary, long unreachableMs) {}
+
+  /** Asks for tokens of an organisation's rate. */
+  record AskTokens(GrantRequest request) implements PeerMessage {}
+
+  /** Answers {@link AskTokens}. */
+  record GiveTokens(GrantAnswer answer) implements PeerMessage {}
+
+  /** Asks for the declaration in force. */
+  record AskDeclaration() implements PeerMessage {}
+
+  /** Answers {@link AskDeclaration} with the declaration as it stood in the store. */
+  record GiveDeclaration(byte[] value) implements PeerMessage {}
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerServer.java
@@ -0,0 +1,54 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.proxy.net.ChannelHandler;
+import io.hickorydrift.proxy.net.TcpChannel;
+import java.nio.ByteBuffer;
+import java.util.function.BiConsumer;
+import org.tinylog.Logger;
+
+/**
+ * A link that a peer opened: takes its questions.
+ *
+ * <p>Thread safety: confined to the loop's thread.
+ */
+final class PeerServer implements ChannelHandler {
+  private final TcpChannel channel;
+  private final BiConsumer<PeerServer, PeerMessage> onQuestion;
+  private String peer = "unknown";
+
+  PeerServer(TcpChannel channel, BiConsumer<PeerServer, PeerMessage> onQuestion) {
+    this.channel = channel;
+    this.onQuestion = onQuestion;
+  }
+
+  /** Returns the peer, known after its first ping. */
+  String peer() {
+    return peer;
+  }
+
+  void answer(PeerMessage message) {
+    PeerCodec.write(channel.out(), message);
+  }
+
+  @Override
+  public void received(ByteBuffer in) {
+    try {
+      for (PeerMessage message = PeerCodec.take(in);
+          message != null && !channel.isClosed();
+          message = PeerCodec.take(in)) {
+        if (message instanceof PeerMessage.Ping ping) {
+          peer = ping.instance();
+        }
+        onQuestion.accept(this, message);
+      }
+    } catch (IllegalArgumentException e) {
+      Logger.warn("event=peer_unreadable peer={} reason=\"{}\"", peer, e.getMessage());
+      channel.close();
+    }
+  }
+
+  @Override
+  public void closed(String reason) {
+    Logger.debug("event=peer_closed peer={} reason=\"{}\"", peer, reason);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -0,0 +1,167 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.directory.Directory;
+import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.message.GrantRequest;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.proxy.net.EventLoop;
+import io.hickorydrift.proxy.net.TcpChannel;
+import io.hickorydrift.proxy.port.PlatformAdapter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Links to all other instances: sightings of primaries, proofs that the declaration is current, and
+ * tokens travel over them.
+ *
+ * <p>Invariant: an age that a peer tells counts from when this instance asked, so that it is never
+ * taken for younger than it is. Thread safety: confined to the loop's thread.
+ */
+final class Peers implements PeerLink.Listener {
+  private static final long PING_MS = 400;
+
+  private final EventLoop loop;
+  private final String self;
+  private final Fleet fleet;
+  private final PlatformAdapter platform;
+  private final Declarations declarations;
+  private final Directory directory;
+  private final PrimaryWatch watch;
+  private final Map<String, PeerLink> links = new HashMap<>();
+  private RateLimits limits;
+
+  Peers(
+      EventLoop loop,
+      String self,
+      Fleet fleet,
+      PlatformAdapter platform,
+      Declarations declarations,
+      Directory directory,
+      PrimaryWatch watch) {
+    this.loop = loop;
+    this.self = self;
+    this.fleet = fleet;
+    this.platform = platform;
+    this.declarations = declarations;
+    this.directory = directory;
+    this.watch = watch;
+  }
+
+  void start(RateLimits rateLimits) {
+    limits = rateLimits;
+    loop.every(PING_MS, this::ping);
+  }
+
+  /** Makes the handler of a link that a peer opened. */
+  PeerServer serve(TcpChannel channel) {
+    return new PeerServer(channel, this::asked);
+  }
+
+  private void ping() {
+    Map<String, String> members = fleet.others();
+    links
+        .values()
+        .removeIf(
+            link -> {
+              boolean gone = !link.address().equals(members.get(link.peer()));
+              if (gone) {
+                link.close();
+              }
+              return gone;
+            });
+    members.forEach(
+        (peer, address) ->
+            links.computeIfAbsent(peer, key -> new PeerLink(loop, self, peer, address, this)));
+    links.values().forEach(PeerLink::ping);
+  }
+
+  /** Returns the links whose peer answered lately. */
+  List<PeerLink> up() {
+    List<PeerLink> up = new ArrayList<>();
+    for (PeerLink link : links.values()) {
+      if (link.up()) {
+        up.add(link);
+      }
+    }
+    return up;
+  }
+
+  /** Asks {@code peer} for tokens. */
+  void ask(String peer, GrantRequest request) {
+    PeerLink link = links.get(peer);
+    if (link != null) {
+      link.send(new PeerMessage.AskTokens(request));
+    }
+  }
+
+  private void asked(PeerServer server, PeerMessage question) {
+    if (question instanceof PeerMessage.Ping ping) {
+      server.answer(pong(ping.sequence()));
+    } else if (question instanceof PeerMessage.AskTokens ask) {
+      limits.asked(server, ask.request());
+    } else if (question instanceof PeerMessage.AskDeclaration) {
+      byte[] value = declarations.stored();
+      if (value != null) {
+        server.answer(new PeerMessage.GiveDeclaration(value));
+      }
+    }
+  }
+
+  private PeerMessage.Pong pong(long sequence) {
+    List<PeerMessage.GroupNews> news = new ArrayList<>();
+    for (GroupState group : directory.groups()) {
+      Position position = group.sightings().latest();
+      long ageMs =
+          position == null
+              ? 0
+              : TimeUnit.NANOSECONDS.toMillis(group.sightings().ageNanos(loop.nowNanos())) + 1;
+      TargetState primary = group.primary();
+      news.add(
+          new PeerMessage.GroupNews(
+              group.name(),
+              position,
+              ageMs,
+              primary == null ? "" : primary.entry().id(),
+              watch.unreachableMs(primary)));
+    }
+    return new PeerMessage.Pong(
+        sequence, declarations.current().version(), declarations.proofAgeMs(), news);
+  }
+
+  @Override
+  public void pong(PeerLink link, PeerMessage.Pong pong, long pingNanos) {
+    for (PeerMessage.GroupNews news : pong.groups()) {
+      if (news.position() != null) {
+        directory
+            .group(news.group())
+            .sightings()
+            .add(news.position(), pingNanos - TimeUnit.MILLISECONDS.toNanos(news.ageMs()));
+      }
+    }
+    long version = declarations.current().version();
+    if (pong.version() > version) {
+      link.send(new PeerMessage.AskDeclaration());
+    } else if (pong.version() == version && pong.proofAgeMs() >= 0) {
+      declarations.provenAt(pingNanos - TimeUnit.MILLISECONDS.toNanos(pong.proofAgeMs() + 1));
+    }
+  }
+
+  @Override
+  public void answered(PeerLink link, PeerMessage message) {
+    if (message instanceof PeerMessage.GiveTokens give) {
+      limits.given(link.peer(), give.answer());
+    } else if (message instanceof PeerMessage.GiveDeclaration give) {
+      try {
+        declarations.accept(platform.declaration(give.value()), give.value());
+      } catch (IllegalArgumentException e) {
+        Logger.warn(
+            "event=declaration_unreadable peer={} reason=\"{}\"", link.peer(), e.getMessage());
+      }
+    }
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -46,8 +46,16 @@
     }
   }
 
+  /** Closes what is idle to targets that leave. */
+  private static void drainLeaving(TargetPool pool) {
+    if (pool.target().entry().draining()) {
+      pool.drain();
+    }
+  }
+
   void tick(long nowNanos) {
     for (TargetPool pool : List.copyOf(pools.values())) {
+      drainLeaving(pool);
       pool.tick(nowNanos);
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -176,7 +176,7 @@
       return;
     }
     try {
-      declarations.accept(platform.declaration(item.value()));
+      declarations.accept(platform.declaration(item.value()), item.value());
     } catch (IllegalArgumentException e) {
       Logger.warn(
           "event=declaration_unreadable revision={} reason=\"{}\"",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -63,6 +63,16 @@
     return failedOpens;
   }
 
+  /** Returns whether the target said anything on any connection after {@code sinceNanos}. */
+  boolean heardSince(long sinceNanos) {
+    for (TargetConnection connection : all) {
+      if (connection.isOpen() && connection.heardNanos() - sinceNanos > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns an idle connection without waiting, or null. */
   TargetConnection anyIdle() {
     return idle.pollLast();
