--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Admission.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Admission.java
@@ -18,7 +18,12 @@
     return new Admission(route, organisation, null, "");
   }
 
-  static Admission refused(FailureCode code, String reason) {
-    return new Admission(null, null, code, reason);
+  static Admission refusedFor(FailureCode code, String reason) {
+    return new Admission(null, "-", code, reason);
+  }
+
+  /** Returns a refusal of what was admitted before. */
+  Admission refused(FailureCode code, String text) {
+    return new Admission(route, organisation, code, text);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -284,7 +284,7 @@
                 if (!channel.isClosed()) {
                   refuse(
                       statement,
-                      Admission.refused(
+                      admission.refused(
                           FailureCode.BUSY, "rate used up; come back in " + retryAfterMs + " ms"));
                   handleNext();
                 }
@@ -296,14 +296,14 @@
     Declaration declaration = context.declarations().current();
     Route route = declaration.routes().get(database);
     if (route == null) {
-      return Admission.refused(FailureCode.UNKNOWN_DATABASE, "no such database");
+      return Admission.refusedFor(FailureCode.UNKNOWN_DATABASE, "no such database");
     }
     String organisation = declaration.keyOwners().get(credential);
     if (organisation == null && !route.open()) {
-      return Admission.refused(FailureCode.UNAUTHORIZED, "key is withdrawn");
+      return Admission.refusedFor(FailureCode.UNAUTHORIZED, "key is withdrawn");
     }
     if (!route.open() && !context.declarations().keysProven()) {
-      return Admission.refused(
+      return Admission.refusedFor(
           FailureCode.BUSY, "settings cannot be shown to be current; come back in 1000 ms");
     }
     return Admission.admitted(route, organisation == null ? "-" : organisation);
@@ -314,7 +314,8 @@
         .log()
         .decided(
             statement.id(),
-            "decision=refused code={} reason=\"{}\" version={} proof_age_ms={}",
+            "decision=refused organisation={} code={} reason=\"{}\" version={} proof_age_ms={}",
+            admission.organisation(),
             admission.refusal(),
             admission.reason(),
             context.declarations().current().version(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Declaration;
+import io.hickorydrift.core.declaration.DeclaredOrganisation;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -45,10 +46,28 @@
         current.version(),
         declaration.routes().size(),
         declaration.organisations().size());
+    logChangedLimits(declaration);
     current = declaration;
     stored = value;
   }
 
+  private void logChangedLimits(Declaration next) {
+    if (current == Declaration.NONE) {
+      return;
+    }
+    for (DeclaredOrganisation organisation : next.organisations().values()) {
+      DeclaredOrganisation before = current.organisations().get(organisation.name());
+      if (before != null && !before.limit().equals(organisation.limit())) {
+        Logger.info(
+            "event=limit_changed organisation={} rate_per_s={} burst={} rate_before_per_s={}",
+            organisation.name(),
+            organisation.limit().ratePerSecond(),
+            organisation.limit().burst(),
+            before.limit().ratePerSecond());
+      }
+    }
+  }
+
   /** The store, asked at {@code askedNanos}, had nothing newer than what is in force. */
   void provenAt(long askedNanos) {
     if (!proven || askedNanos - provenNanos > 0) {
