--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/promotion/package-info.java
@@ -0,0 +1,2 @@
+/** When a primary has to be replaced, and by which target. */
+package io.hickorydrift.core.promotion;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -35,6 +35,7 @@
   private Transaction transaction;
   private boolean running;
   private long receivedNanos;
+  private long answeredNanos;
 
   CallerSession(GatewayContext context, TcpChannel channel, Consumer<CallerSession> onEnd) {
     this.context = context;
@@ -95,6 +96,7 @@
     } else {
       database = open.database();
       credential = open.credential();
+      answeredNanos = receivedNanos;
       context.callerCodec().ready(channel.out(), SessionState.IDLE, null);
     }
   }
@@ -347,6 +349,7 @@
   }
 
   private void answer(Outcome outcome) {
+    answeredNanos = context.loop().nowNanos();
     state = outcome.state();
     outcome.rows().forEach(row -> context.callerCodec().row(channel.out(), row));
     if (outcome.failure() == null) {
@@ -365,9 +368,17 @@
     }
   }
 
-  /** Returns whether nothing is under way, so that closing costs the caller nothing. */
-  boolean quiet() {
-    return !running && waiting.isEmpty() && state == SessionState.IDLE;
+  /** Returns whether nothing has been under way since, so that closing costs nothing. */
+  boolean quietSince(long nanos) {
+    return !running && waiting.isEmpty() && state == SessionState.IDLE && answeredNanos - nanos < 0;
+  }
+
+  /** Rolls back a transaction in which no statement runs. */
+  void abandonIdleTransaction() {
+    if (transaction != null && !running) {
+      dropTransaction();
+      state = SessionState.FAILED;
+    }
   }
 
   /** Ends a transaction that nobody has used for too long. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -26,6 +26,12 @@
   private static final long NANOS_PER_MS = 1_000_000L;
   // Leaves room for a turn of the loop and a statement under way.
   private static final long KEY_MARGIN_MS = 400;
+  // The balancer asks every second and needs two misses.
+  private static final long NOTICE_MS = 2_200;
+  private static final long LAST_MS = 700;
+  private static final long QUIET_NANOS = 60_000_000L;
+  // All sessions of an instance within about a second, without sending them all at once.
+  private static final int CLOSES_A_TICK = 6;
   private static final Page READY = new Page(200, "ready\n");
   private static final Page NOT_READY = new Page(503, "not ready\n");
   private static final Page NOT_FOUND = new Page(404, "not found\n");
@@ -41,8 +47,10 @@
   private final PrimaryWatch watch;
   private final Peers peers;
   private final RateLimits limits;
+  private final PromotionDuty promotions;
   private final GatewayContext context;
   private boolean stopping;
+  private long stoppingNanos;
 
   /** Prepares an instance; {@link #run} starts it. */
   public Gateway(GatewaySettings settings, PlatformAdapter platform) {
@@ -56,6 +64,18 @@
     watch = new PrimaryWatch(loop, directory, pools, declarations);
     peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, watch);
     limits = new RateLimits(loop, declarations, fleet, peers);
+    promotions =
+        new PromotionDuty(
+            loop,
+            store,
+            platform.promotionOrders(loop, settings.promotionAddress()),
+            directory,
+            declarations,
+            pools,
+            watch,
+            peers,
+            fleet,
+            settings.id());
     sync = new StoreSync(loop, store, platform, declarations, directory, fleet);
     context =
         new GatewayContext(
@@ -112,9 +132,38 @@
     pools.tick(nowNanos);
     limits.tick(nowNanos);
     watch.tick(nowNanos);
+    if (!stopping) {
+      promotions.tick(nowNanos, sync.settled());
+    }
     for (CallerSession session : List.copyOf(sessions)) {
       session.tick(nowNanos);
     }
+    if (stopping) {
+      leave(nowNanos);
+    }
+  }
+
+  /** Closes sessions as they fall quiet; what is still open near the end is cut. */
+  private void leave(long nowNanos) {
+    long stoppingMs = (nowNanos - stoppingNanos) / NANOS_PER_MS;
+    if (stoppingMs < NOTICE_MS) {
+      return;
+    }
+    boolean half = stoppingMs > settings.stopMs() / 2;
+    boolean last = stoppingMs > settings.stopMs() - LAST_MS;
+    int closed = 0;
+    for (CallerSession session : List.copyOf(sessions)) {
+      if (half) {
+        session.abandonIdleTransaction();
+      }
+      if (last || session.quietSince(nowNanos - QUIET_NANOS) && closed < CLOSES_A_TICK) {
+        session.end("instance stops");
+        closed++;
+      }
+    }
+    if (sessions.isEmpty()) {
+      loop.stop();
+    }
   }
 
   /** Begins to stop: takes no new sessions, lets open work end, and leaves. */
@@ -129,6 +178,6 @@
     stopping = true;
     Logger.info("event=stopping sessions={}", sessions.size());
     fleet.leave();
-    loop.after(settings.stopMs() - 500, loop::stop);
+    stoppingNanos = loop.nowNanos();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.TargetCodec;
 import java.util.HashMap;
@@ -33,6 +34,11 @@
         target, key -> new TargetPool(loop, codec, target, () -> budget(target)));
   }
 
+  /** Returns the report in {@code reply}, or null. */
+  TargetReport report(Reply reply) {
+    return reply.ok() && !reply.rows().isEmpty() ? codec.report(reply.rows().get(0)) : null;
+  }
+
   private int budget(TargetState target) {
     DeclaredGroup group = declarations.current().groups().get(target.entry().group());
     return group == null ? 1 : Math.max(1, group.maxConnections() / fleet.size());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -71,6 +71,11 @@
     return reachable;
   }
 
+  /** Returns whether entries that lapsed while the store was away have had time to return. */
+  boolean settled() {
+    return loaded && reachable && loop.nowNanos() - troubleNanos >= RETURN_NANOS;
+  }
+
   /** Starts to follow. */
   void start() {
     load("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
@@ -112,6 +112,9 @@
         deadlineNanos,
         reply -> {
           target.answered(context.loop().nowNanos() - reply.sentNanos());
+          if (ended) {
+            return;
+          }
           if (commit) {
             committed(reply);
           } else {
@@ -136,10 +139,14 @@
       return;
     }
     logFailure(reply);
+    end(failedStatement(reply));
+  }
+
+  private Outcome failedStatement(Reply reply) {
     finish();
     boolean ran = reply.failure() != null && !reply.failure().notRun();
     FailureCode code = ran ? reply.failure() : FailureCode.ABORTED;
-    end(Outcome.failed(code, reply.text(), SessionState.FAILED));
+    return Outcome.failed(code, reply.text(), SessionState.FAILED);
   }
 
   private void sendAgain() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -142,7 +142,7 @@
       if (!(e instanceof IOException)) {
         Logger.error(e, "event=turn_failed");
       }
-      target.failed(e);
+      guarded(() -> target.failed(e));
     }
   }
 
