--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -10,9 +10,9 @@
  */
 public final class ReadPlacement {
   // A replica not known to have the position may still have it by now.
-  private static final double UNPROVEN_COST = 1.0;
+  private static final double UNPROVEN_COST = 0.5;
   // Leaves the primary free for what only it can do.
-  private static final double PRIMARY_COST = 1.0;
+  private static final double PRIMARY_COST = 2.0;
   private static final double OTHER_DOMAIN_COST = 0.5;
   private static final double AVOIDED_COST = 100;
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.proxy.gateway.Gateway;
 import io.hickorydrift.proxy.gateway.GatewaySettingsReader;
+import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -38,11 +39,15 @@
         ServiceLoader.load(PlatformAdapter.class)
             .findFirst()
             .orElseThrow(() -> new UsageException("no platform adapter in this binary"));
+    EventLoop loop = new EventLoop();
     Gateway gateway =
         new Gateway(
-            GatewaySettingsReader.read(Path.of((String) parsed.valueOf("settings"))), platform);
-    Signal.handle(new Signal("TERM"), signal -> gateway.stop());
-    gateway.run();
+            loop,
+            GatewaySettingsReader.read(Path.of((String) parsed.valueOf("settings"))),
+            platform);
+    Signal.handle(new Signal("TERM"), signal -> gateway.stop(loop::stop));
+    gateway.start();
+    loop.run();
     return ExitCode.OK;
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -4,8 +4,8 @@
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.proxy.net.EventLoop;
+import io.hickorydrift.proxy.net.HttpCall;
 import io.hickorydrift.proxy.net.HttpResponder;
-import io.hickorydrift.proxy.net.HttpResponder.Page;
 import io.hickorydrift.proxy.net.TcpChannel;
 import io.hickorydrift.proxy.net.TcpListener;
 import io.hickorydrift.proxy.port.KeyValueStore;
@@ -32,13 +32,14 @@
   private static final long QUIET_NANOS = 60_000_000L;
   // All sessions of an instance within about a second, without sending them all at once.
   private static final int CLOSES_A_TICK = 6;
-  private static final Page READY = new Page(200, "ready\n");
-  private static final Page NOT_READY = new Page(503, "not ready\n");
-  private static final Page NOT_FOUND = new Page(404, "not found\n");
+  private static final String PLAIN_TEXT = "text/plain";
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
 
   private final GatewaySettings settings;
   private final PlatformAdapter platform;
-  private final EventLoop loop = new EventLoop();
+  private final EventLoop loop;
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
   private final Declarations declarations;
   private final Fleet fleet;
@@ -49,11 +50,13 @@
   private final RateLimits limits;
   private final PromotionDuty promotions;
   private final GatewayContext context;
+  private Runnable whenStopped = () -> {};
   private boolean stopping;
   private long stoppingNanos;
 
-  /** Prepares an instance; {@link #run} starts it. */
-  public Gateway(GatewaySettings settings, PlatformAdapter platform) {
+  /** Prepares an instance on {@code loop}; {@link #start} opens it. */
+  public Gateway(EventLoop loop, GatewaySettings settings, PlatformAdapter platform) {
+    this.loop = loop;
     this.settings = settings;
     this.platform = platform;
     declarations = new Declarations(loop, settings.keyValidityMs() - KEY_MARGIN_MS);
@@ -89,8 +92,8 @@
             new RequestLog(loop));
   }
 
-  /** Runs until stopped. */
-  public void run() throws IOException {
+  /** Opens the instance; it serves while the loop runs. */
+  public void start() throws IOException {
     Logger.info(
         "event=start instance={} failure_domain={}", settings.id(), settings.failureDomain());
     new TcpListener(loop, settings.callersListen(), this::session);
@@ -101,8 +104,6 @@
     sync.start();
     fleet.join();
     loop.every(TICK_MS, this::tick);
-    loop.run();
-    Logger.info("event=stopped instance={}", settings.id());
   }
 
   private void removed(TargetState target) {
@@ -116,14 +117,18 @@
     return session;
   }
 
-  private Page readiness(String path) {
-    if (!path.equals(platform.readinessPath())) {
-      return NOT_FOUND;
+  private void readiness(HttpCall call) {
+    if (!call.path().equals(platform.readinessPath())) {
+      call.respond(NOT_FOUND, PLAIN_TEXT, "not found\n");
+    } else if (ready()) {
+      call.respond(OK, PLAIN_TEXT, "ready\n");
+    } else {
+      call.respond(UNAVAILABLE, PLAIN_TEXT, "not ready\n");
     }
-    return ready() ? READY : NOT_READY;
   }
 
-  private boolean ready() {
+  /** Returns whether the balancer may send new sessions here. */
+  public boolean ready() {
     return !stopping && sync.loaded() && declarations.keysProven();
   }
 
@@ -162,19 +167,21 @@
       }
     }
     if (sessions.isEmpty()) {
-      loop.stop();
+      Logger.info("event=stopped instance={} after_ms={}", settings.id(), stoppingMs);
+      whenStopped.run();
     }
   }
 
-  /** Begins to stop: takes no new sessions, lets open work end, and leaves. */
-  public void stop() {
-    loop.post(this::beginStop);
+  /** Begins to stop: lets open work end, leaves the fleet, and then runs {@code action}. */
+  public void stop(Runnable action) {
+    loop.post(() -> beginStop(action));
   }
 
-  private void beginStop() {
+  private void beginStop(Runnable action) {
     if (stopping) {
       return;
     }
+    whenStopped = action;
     stopping = true;
     Logger.info("event=stopping sessions={}", sessions.size());
     fleet.leave();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.TargetCommand;
+import io.hickorydrift.proxy.net.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -17,8 +18,16 @@
  * target begins only while it leads. Thread safety: confined to the loop's thread.
  */
 final class ReadRun implements TargetSearch.Listener {
-  // Far above the longest usual answer; a connection that is silent for so long is dead.
-  private static final long ATTEMPT_NANOS = 350_000_000L;
+  // An answer that takes several times as long as usual may be lost; another target is asked then.
+  private static final double SLOW_FACTOR = 5;
+  private static final long MIN_SLOW_MS = 120;
+  private static final long MAX_SLOW_MS = 400;
+  private static final int MAX_RUNNING = 3;
+
+  private static final double NANOS_PER_MS = 1e6;
+  private static final long ROLLBACK_NANOS = 350_000_000L;
+  // A replica that is behind stays so for about its usual lag.
+  private static final long LAGGING_NANOS = 100_000_000L;
 
   private final GatewayContext context;
   private final Route route;
@@ -28,6 +37,9 @@
   private final TargetSearch search;
   private final long deadlineNanos;
   private Reply lastFailure;
+  private int running;
+  private boolean searching;
+  private boolean over;
 
   ReadRun(
       GatewayContext context,
@@ -55,19 +67,23 @@
   }
 
   void start() {
+    searching = true;
     search.next();
   }
 
   @Override
   public void found(TargetConnection connection, Position atLeast) {
-    long attemptNanos = attemptDeadline();
+    if (over) {
+      context.pool(connection.target()).release(connection);
+      return;
+    }
     if (atLeast != null) {
       read(connection, atLeast, false);
       return;
     }
     connection.run(
         new TargetCommand.Begin(false, null),
-        attemptNanos,
+        deadlineNanos,
         reply -> {
           if (reply.ok()) {
             context.sighted(context.directory().group(route.group()), reply);
@@ -79,24 +95,23 @@
         });
   }
 
-  private long attemptDeadline() {
-    long untilNanos = context.loop().nowNanos() + ATTEMPT_NANOS;
-    return untilNanos - deadlineNanos < 0 ? untilNanos : deadlineNanos;
-  }
-
   private void read(TargetConnection connection, Position atLeast, boolean wrapped) {
-    long attemptNanos = attemptDeadline();
     TargetState target = connection.target();
     target.sent();
+    running++;
+    searching = false;
+    EventLoop.Timer slow = context.loop().after(slowMs(target), this::slow);
     connection.run(
-        session.command(statement, connection, atLeast, attemptNanos),
-        attemptNanos,
+        session.command(statement, connection, atLeast, deadlineNanos),
+        deadlineNanos,
         reply -> {
+          slow.cancel();
+          running--;
           target.answered(context.loop().nowNanos() - reply.sentNanos());
           if (wrapped && !reply.lost()) {
             connection.run(
                 new TargetCommand.Rollback(),
-                attemptDeadline(),
+                context.loop().nowNanos() + ROLLBACK_NANOS,
                 end -> context.pool(target).release(connection));
           } else {
             context.pool(target).release(connection);
@@ -105,12 +120,32 @@
         });
   }
 
+  private static long slowMs(TargetState target) {
+    long usualMs = (long) (target.answerNanos() * SLOW_FACTOR / NANOS_PER_MS);
+    return Math.max(MIN_SLOW_MS, Math.min(MAX_SLOW_MS, usualMs));
+  }
+
+  /** Asks another target as well; the first answer counts. */
+  private void slow() {
+    if (!over && !searching && running < MAX_RUNNING) {
+      searching = true;
+      search.failed("slow answer");
+    }
+  }
+
   private void answered(TargetState target, Reply reply) {
+    if (over) {
+      return;
+    }
     if (reply.ok()) {
+      over = true;
       onOutcome.accept(Outcome.of(reply, SessionState.IDLE));
       return;
     }
     lastFailure = reply;
+    if (reply.failedFor(FailureCode.LAGGING)) {
+      target.avoidUntil(context.loop().nowNanos() + LAGGING_NANOS);
+    }
     context
         .log()
         .decided(
@@ -119,11 +154,19 @@
             target.entry().id(),
             reply.failure(),
             reply.text());
-    search.failed(reply.lost() ? "no answer" : String.valueOf(reply.failure()));
+    if (!searching) {
+      searching = true;
+      search.failed(reply.lost() ? "no answer" : String.valueOf(reply.failure()));
+    }
   }
 
   @Override
   public void exhausted(String reason) {
+    searching = false;
+    if (over || running > 0) {
+      return;
+    }
+    over = true;
     FailureCode code = FailureCode.BUSY;
     if (lastFailure != null && (lastFailure.lost() || !lastFailure.failure().notRun())) {
       code = FailureCode.FAILED;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -42,6 +42,7 @@
   private final Position ownCommit;
   private final long receivedNanos;
   private final long giveUpNanos;
+  private final long deadlineNanos;
   private final Listener listener;
   private final Set<String> tried = new HashSet<>();
   private String lastReason = "no target announced";
@@ -61,15 +62,15 @@
     this.ownCommit = ownCommit;
     this.receivedNanos = receivedNanos;
     this.listener = listener;
-    giveUpNanos =
-        receivedNanos
-            + Math.min(TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs()), HOLD_NANOS);
+    long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
+    deadlineNanos = receivedNanos + timeoutNanos;
+    giveUpNanos = receivedNanos + Math.min(timeoutNanos, HOLD_NANOS);
   }
 
   /** Looks for the next target. */
   void next() {
     long nowNanos = context.loop().nowNanos();
-    if (giveUpNanos - nowNanos < 0) {
+    if (deadlineNanos - nowNanos < 0) {
       listener.exhausted(lastReason);
       return;
     }
@@ -121,7 +122,7 @@
         .pool(target)
         .acquire(
             organisation,
-            giveUpNanos,
+            waitUntilNanos(),
             new TargetPool.Waiter() {
               @Override
               public void granted(TargetConnection connection) {
@@ -135,6 +136,11 @@
             });
   }
 
+  private long waitUntilNanos() {
+    long untilNanos = context.loop().nowNanos() + HOLD_NANOS;
+    return untilNanos - deadlineNanos < 0 ? untilNanos : deadlineNanos;
+  }
+
   /** The last target did not run the statement; looks for another. */
   void failed(String reason) {
     lastReason = reason;
@@ -142,6 +148,10 @@
   }
 
   private void pause() {
+    if (giveUpNanos - context.loop().nowNanos() < 0) {
+      listener.exhausted(lastReason);
+      return;
+    }
     context
         .loop()
         .after(
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 
 /**
@@ -114,7 +115,12 @@
 
   /** Runs until stopped. */
   public void run() throws IOException {
-    while (!stopped) {
+    runWhile(() -> true);
+  }
+
+  /** Runs until stopped, or until {@code condition} no longer holds after a turn. */
+  public void runWhile(BooleanSupplier condition) throws IOException {
+    while (!stopped && condition.getAsBoolean()) {
       flush();
       selector.select(this::ready, waitMs());
       clock.refresh();
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpResponder.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpResponder.java
@@ -1,31 +1,36 @@
 package io.hickorydrift.proxy.net;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.function.Function;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 
 /**
- * Answers simple GET requests on one connection from memory; bodies are ignored. Jetty's parser on
- * the loop's thread.
+ * Takes HTTP requests on one connection, with Jetty's parser on the loop's thread. A caller that
+ * sends the next request before it has its answer is not served.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
 public final class HttpResponder implements ChannelHandler, HttpParser.RequestHandler {
-  /** What is answered to a path. */
-  public record Page(int status, String body) {}
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
   private final TcpChannel channel;
-  private final Function<String, Page> pages;
+  private final Consumer<HttpCall> onCall;
   private final HttpParser parser = new HttpParser((HttpParser.RequestHandler) this);
+  private final Map<String, String> headers = new HashMap<>();
+  private String method = "";
   private String path = "";
+  private byte[] body = new byte[0];
 
-  /** Answers on {@code channel} with {@code pages} by path. */
-  public HttpResponder(TcpChannel channel, Function<String, Page> pages) {
+  /** Takes requests on {@code channel}. */
+  public HttpResponder(TcpChannel channel, Consumer<HttpCall> onCall) {
     this.channel = channel;
-    this.pages = pages;
+    this.onCall = onCall;
   }
 
   @Override
@@ -43,16 +48,21 @@
 
   @Override
   public void closed(String reason) {
-    path = "";
+    headers.clear();
   }
 
   @Override
-  public void startRequest(String method, String uri, HttpVersion version) {
+  public void startRequest(String verb, String uri, HttpVersion version) {
+    method = verb;
     path = uri;
+    body = new byte[0];
+    headers.clear();
   }
 
   @Override
-  public void parsedHeader(HttpField field) {}
+  public void parsedHeader(HttpField field) {
+    headers.put(field.getName().toLowerCase(Locale.ROOT), field.getValue());
+  }
 
   @Override
   public boolean headerComplete() {
@@ -61,7 +71,13 @@
 
   @Override
   public boolean content(ByteBuffer item) {
-    item.position(item.limit());
+    int held = body.length;
+    if (held + item.remaining() > MAX_BODY_BYTES) {
+      channel.close();
+      return true;
+    }
+    body = Arrays.copyOf(body, held + item.remaining());
+    item.get(body, held, body.length - held);
     return false;
   }
 
@@ -72,20 +88,10 @@
 
   @Override
   public boolean messageComplete() {
-    answer(pages.apply(path));
+    onCall.accept(new HttpCall(channel, method, path, Map.copyOf(headers), body));
     return true;
   }
 
-  private void answer(Page page) {
-    byte[] body = page.body().getBytes(StandardCharsets.UTF_8);
-    channel
-        .out()
-        .text("HTTP/1.1 " + page.status() + " -\r\nContent-Type: text/plain\r\nContent-Length: ")
-        .text(String.valueOf(body.length))
-        .text("\r\n\r\n")
-        .octets(body);
-  }
-
   @Override
   public void earlyEOF() {
     channel.close();
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -20,6 +20,8 @@
   // One message and a little of the next.
   private static final int MAX_UNREAD_BYTES = (1 << 20) + 64 * 1024;
 
+  private static final long DISCARD_MS = 300;
+
   private final EventLoop loop;
   private final SocketChannel socket;
   private final OutBuffer out = new OutBuffer();
@@ -29,6 +31,7 @@
   private boolean flushing;
   private boolean closed;
   private boolean closeWhenFlushed;
+  private boolean discarding;
 
   private TcpChannel(EventLoop loop, SocketChannel socket) {
     this.loop = loop;
@@ -125,7 +128,10 @@
     }
   }
 
-  /** Closes once all that waits has left. */
+  /**
+   * Closes once all that waits has left. What still comes is discarded for a moment, since closing
+   * with bytes unread would reset the connection and lose what was sent last.
+   */
   public void closeAfterFlush() {
     closeWhenFlushed = true;
     out();
@@ -155,7 +161,14 @@
     ByteBuffer buffer = loop.readBuffer().clear();
     int count = socket.read(buffer);
     if (count < 0) {
-      failed(new IOException("closed by the other side"));
+      if (discarding) {
+        close();
+      } else {
+        failed(new IOException("closed by the other side"));
+      }
+      return;
+    }
+    if (discarding) {
       return;
     }
     loop.clock().refresh();
@@ -209,8 +222,10 @@
           return;
         }
       }
-      if (closeWhenFlushed) {
-        close();
+      if (closeWhenFlushed && !discarding) {
+        discarding = true;
+        socket.shutdownOutput();
+        loop.after(DISCARD_MS, this::close);
       }
     } catch (IOException e) {
       failed(e);
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -31,7 +31,8 @@
         address,
         channel -> {
           accepted.add(channel);
-          return new HttpResponder(channel, path -> new HttpResponder.Page(200, "you: " + path));
+          return new HttpResponder(
+              channel, call -> call.respond(200, "text/plain", "you: " + call.path()));
         });
     HttpClient client = new HttpClient(loop, address);
     client.call(
