--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.core.directory;
 
+import io.hickorydrift.core.admission.RepeatBudget;
 import io.hickorydrift.core.sighting.Sightings;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -16,6 +17,7 @@
   private final String name;
   private final Map<String, TargetState> targets = new LinkedHashMap<>();
   private final Sightings sightings = new Sightings();
+  private final RepeatBudget repeats = new RepeatBudget();
 
   GroupState(String name) {
     this.name = name;
@@ -35,6 +37,11 @@
     return targets;
   }
 
+  /** Returns what may be asked of more than one target. */
+  public RepeatBudget repeats() {
+    return repeats;
+  }
+
   /** Returns the positions seen at its primary. */
   public Sightings sightings() {
     return sightings;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
@@ -24,6 +24,8 @@
   private static final long MAX_SLOW_MS = 400;
   private static final int MAX_RUNNING = 3;
 
+  // About the time in which a full queue gets room.
+  private static final long BUSY_NANOS = 60_000_000L;
   private static final double NANOS_PER_MS = 1e6;
   private static final long ROLLBACK_NANOS = 350_000_000L;
   // A replica that is behind stays so for about its usual lag.
@@ -67,6 +69,7 @@
   }
 
   void start() {
+    context.directory().group(route.group()).repeats().tried();
     searching = true;
     search.next();
   }
@@ -127,7 +130,8 @@
 
   /** Asks another target as well; the first answer counts. */
   private void slow() {
-    if (!over && !searching && running < MAX_RUNNING) {
+    boolean wanted = !over && !searching && running < MAX_RUNNING;
+    if (wanted && context.directory().group(route.group()).repeats().tryRepeat()) {
       searching = true;
       search.failed("slow answer");
     }
@@ -145,6 +149,8 @@
     lastFailure = reply;
     if (reply.failedFor(FailureCode.LAGGING)) {
       target.avoidUntil(context.loop().nowNanos() + LAGGING_NANOS);
+    } else if (reply.failedFor(FailureCode.BUSY)) {
+      target.avoidUntil(context.loop().nowNanos() + BUSY_NANOS);
     }
     context
         .log()
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -21,8 +21,10 @@
  */
 final class TargetPool {
   // A connection takes tens of milliseconds to open; a target that is silent for so long is dark.
-  private static final long OPEN_TIMEOUT_MS = 600;
+  private static final long OPEN_TIMEOUT_MS = 1_000;
   private static final long RETRY_AFTER_FAILURE_NANOS = 150_000_000L;
+  // Opening takes slot time from work: not all connections at once.
+  private static final int MAX_OPENING = 2;
 
   /** Who waits for a connection. */
   interface Waiter {
@@ -135,6 +137,9 @@
       return;
     }
     for (Waiting next : List.copyOf(waiting)) {
+      if (opening() >= MAX_OPENING) {
+        return;
+      }
       if (opening(next.organisation) >= waiters(next.organisation)) {
         continue;
       }
@@ -156,6 +161,14 @@
     return true;
   }
 
+  private int opening() {
+    int count = 0;
+    for (TargetConnection connection : all) {
+      count += connection.isOpen() ? 0 : 1;
+    }
+    return count;
+  }
+
   private int opening(String organisation) {
     int count = 0;
     for (TargetConnection connection : all) {
@@ -183,6 +196,7 @@
       return;
     }
     offer(connection);
+    openForWaiters();
   }
 
   void openFailed(TargetConnection connection, FailureCode code, String reason) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -31,7 +31,8 @@
 
   // Longer than the usual wait for a slot or a connection; a change of primary takes far longer.
   private static final long HOLD_NANOS = 400_000_000L;
-  private static final long PAUSE_MS = 25;
+  private static final long FIRST_PAUSE_MS = 15;
+  private static final long MAX_PAUSE_MS = 120;
   // Covers the time between a caller's first byte and its being read here.
   private static final long STALENESS_MARGIN_NANOS = 150_000_000L;
 
@@ -46,6 +47,7 @@
   private final Listener listener;
   private final Set<String> tried = new HashSet<>();
   private String lastReason = "no target announced";
+  private int pauses;
 
   TargetSearch(
       GatewayContext context,
@@ -147,6 +149,11 @@
     next();
   }
 
+  private long pauseMs() {
+    pauses++;
+    return Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS << pauses);
+  }
+
   private void pause() {
     if (giveUpNanos - context.loop().nowNanos() < 0) {
       listener.exhausted(lastReason);
@@ -155,7 +162,7 @@
     context
         .loop()
         .after(
-            PAUSE_MS,
+            pauseMs(),
             () -> {
               tried.clear();
               next();
