Refuse on arrival what cannot be served in time; keep connections where they are warm

Cause: after a power-off of all instances targets kept the dead connections for 3 s and refused new ones (CONNLIMIT); callers of a group without primary were held 400 ms and then refused; a dark target cost each read its wait for a connection. Ruled out: longer holds (refusals then come late).

--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.core.directory;
 
 import io.hickorydrift.core.admission.RepeatBudget;
+import io.hickorydrift.core.promotion.PrimaryOutlook;
 import io.hickorydrift.core.sighting.Sightings;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -18,6 +19,7 @@
   private final Map<String, TargetState> targets = new LinkedHashMap<>();
   private final Sightings sightings = new Sightings();
   private final RepeatBudget repeats = new RepeatBudget();
+  private final PrimaryOutlook outlook = new PrimaryOutlook();
 
   GroupState(String name) {
     this.name = name;
@@ -42,6 +44,11 @@
     return repeats;
   }
 
+  /** Returns when a primary is expected, while there is none. */
+  public PrimaryOutlook outlook() {
+    return outlook;
+  }
+
   /** Returns the positions seen at its primary. */
   public Sightings sightings() {
     return sightings;
--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.message.Position;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Chooses the target of a read that may run on a replica.
@@ -15,6 +16,8 @@
   private static final double PRIMARY_COST = 2.0;
   private static final double OTHER_DOMAIN_COST = 0.5;
   private static final double AVOIDED_COST = 100;
+  // Opening a connection takes about as long as a statement.
+  private static final double OPENING_COST = 0.8;
 
   private final String ownDomain;
 
@@ -25,9 +28,15 @@
 
   /**
    * Returns the target with the least expected wait that is not in {@code tried}, or null if there
-   * is none. The target itself checks {@code atLeast}.
+   * is none. The target itself checks {@code atLeast}; {@code connected} tells where a connection
+   * waits to be used.
    */
-  public TargetState choose(GroupState group, Position atLeast, Set<String> tried, long nowNanos) {
+  public TargetState choose(
+      GroupState group,
+      Position atLeast,
+      Set<String> tried,
+      Predicate<TargetState> connected,
+      long nowNanos) {
     TargetState primary = group.primary();
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
@@ -36,6 +45,7 @@
         continue;
       }
       double cost = cost(target, target == primary, atLeast, nowNanos);
+      cost += connected.test(target) ? 0 : OPENING_COST;
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/promotion/PrimaryJudgeTest.java
@@ -0,0 +1,47 @@
+package io.hickorydrift.core.promotion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.directory.Directory;
+import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.directory.TargetEntry;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PrimaryJudgeTest {
+  private final PrimaryJudge judge = new PrimaryJudge(1_000, 500);
+
+  private static GroupState group(String state) {
+    Directory directory = new Directory(target -> {});
+    boolean primary = !state.equals("none");
+    directory.put(
+        new TargetEntry("t0", "g", "127.0.0.1:1", "a", 3, state.equals("draining"), primary, 1), 5);
+    directory.put(new TargetEntry("t1", "g", "127.0.0.1:2", "b", 3, false, false, 1), 6);
+    return directory.group("g");
+  }
+
+  /** Reports: {@code t0=700} is a peer that has not reached t0 for 700 ms. */
+  @ParameterizedTest
+  @CsvSource({
+    "ready,    0,    '',                              KEEP",
+    "draining, 0,    '',                              LEAVING",
+    "none,     0,    '',                              ABSENT",
+    "ready,    999,  't0=900 t0=900 t0=900',          KEEP",
+    "ready,    1000, 't0=900 t0=900 t0=900',          DEAD",
+    "ready,    5000, '',                              KEEP",
+    "ready,    5000, 't0=900 t0=900 t0=0',            KEEP",
+    "ready,    5000, 't0=900 t0=400 t0=100',          KEEP",
+    "ready,    5000, 't1=900 t1=900 t1=900',          KEEP",
+    "ready,    5000, 't1=0 t0=900 t0=900 t0=600',     DEAD",
+  })
+  void replacesOnlyPrimariesThatNobodyReaches(
+      String state, long ownMs, String peers, Verdict expected) {
+    List<PrimaryReport> reports = new ArrayList<>();
+    for (String peer : peers.isEmpty() ? new String[0] : peers.split(" ")) {
+      reports.add(new PrimaryReport(peer.substring(0, 2), Long.parseLong(peer.substring(3))));
+    }
+    assertThat(judge.judge(group(state), ownMs, reports, 7 - 1)).isEqualTo(expected);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -16,6 +16,10 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class Pools {
+  // A target keeps connections whose far end went dark for seconds; the rest is for whoever
+  // comes back meanwhile.
+  private static final double USED_PART = 0.75;
+
   private final EventLoop loop;
   private final TargetCodec codec;
   private final Declarations declarations;
@@ -41,7 +45,10 @@
 
   private int budget(TargetState target) {
     DeclaredGroup group = declarations.current().groups().get(target.entry().group());
-    return group == null ? 1 : Math.max(1, group.maxConnections() / fleet.size());
+    if (group == null) {
+      return 1;
+    }
+    return Math.max(1, (int) (group.maxConnections() * USED_PART / fleet.size()));
   }
 
   /** The target is gone or began anew. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
@@ -19,6 +19,8 @@
   // Reads that accept 1.5 s find sightings several times as fresh.
   private static final long LOOK_AFTER_NANOS = 350_000_000L;
   private static final long LOOK_TIMEOUT_NANOS = 500_000_000L;
+  // One look that failed may be the connection's fault.
+  private static final long SUSPECT_MS = 700;
 
   /** What is known of one primary. */
   private static final class Reach {
@@ -56,6 +58,7 @@
   void tick(long nowNanos) {
     for (GroupState group : directory.groups()) {
       TargetState primary = group.primary();
+      note(group, primary, nowNanos);
       boolean declared = declarations.current().groups().containsKey(group.name());
       if (primary == null || !declared) {
         continue;
@@ -68,6 +71,16 @@
     }
   }
 
+  private void note(GroupState group, TargetState primary, long nowNanos) {
+    if (primary == null || unreachableMs(primary) > SUSPECT_MS) {
+      group.outlook().without(false, nowNanos);
+    } else if (primary.entry().draining()) {
+      group.outlook().without(true, nowNanos);
+    } else {
+      group.outlook().usable(nowNanos);
+    }
+  }
+
   private void look(GroupState group, TargetState primary, Reach reach) {
     reach.looking = true;
     long startNanos = loop.nowNanos();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadRun.java
@@ -26,6 +26,7 @@
 
   // About the time in which a full queue gets room.
   private static final long BUSY_NANOS = 60_000_000L;
+  private static final long SILENT_NANOS = 300_000_000L;
   private static final double NANOS_PER_MS = 1e6;
   private static final long ROLLBACK_NANOS = 350_000_000L;
   // A replica that is behind stays so for about its usual lag.
@@ -39,6 +40,7 @@
   private final TargetSearch search;
   private final long deadlineNanos;
   private Reply lastFailure;
+  private TargetState lastTarget;
   private int running;
   private boolean searching;
   private boolean over;
@@ -102,6 +104,7 @@
     TargetState target = connection.target();
     target.sent();
     running++;
+    lastTarget = target;
     searching = false;
     EventLoop.Timer slow = context.loop().after(slowMs(target), this::slow);
     connection.run(
@@ -128,8 +131,18 @@
     return Math.max(MIN_SLOW_MS, Math.min(MAX_SLOW_MS, usualMs));
   }
 
+  private void avoidSilent() {
+    long nowNanos = context.loop().nowNanos();
+    if (!context.pool(lastTarget).heardSince(nowNanos - MIN_SLOW_MS * (long) NANOS_PER_MS)) {
+      lastTarget.avoidUntil(nowNanos + SILENT_NANOS);
+    }
+  }
+
   /** Asks another target as well; the first answer counts. */
   private void slow() {
+    if (running > 0 && !over) {
+      avoidSilent();
+    }
     boolean wanted = !over && !searching && running < MAX_RUNNING;
     if (wanted && context.directory().group(route.group()).repeats().tryRepeat()) {
       searching = true;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -48,7 +48,12 @@
   private final String organisation;
   private final TargetPool pool;
   private final TcpChannel channel;
+  // Connecting takes a few milliseconds; only a target that is cut off or dark takes longer.
+  private static final long CONNECT_NANOS = 300_000_000L;
+
   private final long openDeadlineNanos;
+  private final long connectDeadlineNanos;
+  private boolean connected;
   private final ArrayDeque<Pending> pending = new ArrayDeque<>();
   private final Map<String, String> values = new HashMap<>();
   private final Set<String> prepared = new HashSet<>();
@@ -69,6 +74,7 @@
     this.organisation = organisation;
     this.pool = pool;
     openDeadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(openTimeoutMs);
+    connectDeadlineNanos = loop.nowNanos() + CONNECT_NANOS;
     channel = TcpChannel.connect(loop, target.entry().address(), this);
   }
 
@@ -100,6 +106,7 @@
 
   @Override
   public void connected() {
+    connected = true;
     codec.open(channel.out(), target.entry().group(), organisation, target.entry().id());
   }
 
@@ -236,6 +243,10 @@
       fail("not open in time");
       return;
     }
+    if (!connected && connectDeadlineNanos - nowNanos < 0) {
+      fail("not connected in time");
+      return;
+    }
     Pending oldest = pending.peekFirst();
     if (oldest != null && oldest.deadlineNanos - nowNanos < 0) {
       fail("no answer in time");
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -25,6 +25,8 @@
   private static final long RETRY_AFTER_FAILURE_NANOS = 150_000_000L;
   // Opening takes slot time from work: not all connections at once.
   private static final int MAX_OPENING = 2;
+  private static final int DARK_AFTER_FAILURES = 2;
+  private static final long HEARD_NANOS = 400_000_000L;
 
   /** Who waits for a connection. */
   interface Waiter {
@@ -75,6 +77,16 @@
     return false;
   }
 
+  /** Returns whether a connection of {@code organisation} waits to be used. */
+  boolean hasIdle(String organisation) {
+    for (TargetConnection connection : idle) {
+      if (connection.organisation().equals(organisation)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns an idle connection without waiting, or null. */
   TargetConnection anyIdle() {
     return idle.pollLast();
@@ -91,6 +103,11 @@
       waiter.granted(connection);
       return;
     }
+    if (failedOpens >= DARK_AFTER_FAILURES && !heardLately()) {
+      waiter.refused("target is dark");
+      probe(organisation);
+      return;
+    }
     waiting.addLast(new Waiting(organisation, deadlineNanos, waiter));
     openForWaiters();
   }
@@ -146,10 +163,26 @@
       if (all.size() >= budget.getAsInt() && !evictOne()) {
         return;
       }
-      all.add(new TargetConnection(loop, codec, target, next.organisation, this, OPEN_TIMEOUT_MS));
+      open(next.organisation);
+    }
+  }
+
+  private boolean heardLately() {
+    return heardSince(loop.nowNanos() - HEARD_NANOS);
+  }
+
+  /** Opens one connection, to find out whether a dark target is back. */
+  private void probe(String organisation) {
+    boolean due = openNextNanos == Long.MIN_VALUE || openNextNanos - loop.nowNanos() <= 0;
+    if (due && opening() == 0 && all.size() < budget.getAsInt()) {
+      open(organisation);
     }
   }
 
+  private void open(String organisation) {
+    all.add(new TargetConnection(loop, codec, target, organisation, this, OPEN_TIMEOUT_MS));
+  }
+
   private boolean evictOne() {
     TargetConnection oldest = idle.pollFirst();
     if (oldest == null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -81,7 +81,10 @@
     TargetState target =
         atLeast == null
             ? untriedPrimary(group)
-            : context.placement().choose(group, atLeast, tried, nowNanos);
+            : context
+                .placement()
+                .choose(
+                    group, atLeast, tried, t -> context.pool(t).hasIdle(organisation), nowNanos);
     if (target == null && atLeast != null) {
       atLeast = null;
       target = untriedPrimary(group);
@@ -98,6 +101,7 @@
     boolean usable =
         primary != null
             && !primary.entry().draining()
+            && group.outlook().backInMs(context.loop().nowNanos()) == 0
             && !tried.contains(primary.entry().id() + "/proven");
     if (!usable) {
       lastReason = primary == null ? "no primary" : lastReason;
@@ -155,6 +159,12 @@
   }
 
   private void pause() {
+    long backInMs =
+        context.directory().group(route.group()).outlook().backInMs(context.loop().nowNanos());
+    if (backInMs > TimeUnit.NANOSECONDS.toMillis(HOLD_NANOS)) {
+      listener.exhausted(lastReason + "; come back in " + backInMs + " ms");
+      return;
+    }
     if (giveUpNanos - context.loop().nowNanos() < 0) {
       listener.exhausted(lastReason);
       return;
