Ask all peers for tokens sooner, and back off when they had none

Cause: a request waited 60 ms for tokens while peers were asked every 100 ms, so that it was refused with tokens left elsewhere.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
@@ -24,7 +24,7 @@
 final class RateLimits {
   private static final long MS = 1_000_000L;
   private static final LimitSettings SETTINGS =
-      new LimitSettings(0.25, 1_500 * MS, 50 * MS, 400 * MS, 60 * MS, 100 * MS, 3);
+      new LimitSettings(0.25, 1_500 * MS, 50 * MS, 300 * MS, 35 * MS, 10 * MS, 6);
 
   /** Learns whether an operation may run. */
   interface Listener {
