--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -351,6 +351,9 @@
   private void answer(Outcome outcome) {
     answeredNanos = context.loop().nowNanos();
     state = outcome.state();
+    if (outcome.signature() != null || outcome.failure() != null) {
+      count(outcome);
+    }
     outcome.rows().forEach(row -> context.callerCodec().row(channel.out(), row));
     if (outcome.failure() == null) {
       context.callerCodec().complete(channel.out(), outcome.signature());
@@ -360,6 +363,17 @@
     context.callerCodec().ready(channel.out(), state, outcome.position());
   }
 
+  private void count(Outcome outcome) {
+    String owner = context.declarations().current().keyOwners().get(credential);
+    context
+        .metrics()
+        .answered(
+            owner == null ? "none" : owner,
+            database,
+            outcome.failure() == null ? "OK" : outcome.failure().name(),
+            answeredNanos - receivedNanos);
+  }
+
   private void dropTransaction() {
     if (transaction != null) {
       Transaction open = transaction;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.HttpCall;
 import io.hickorydrift.proxy.net.HttpResponder;
@@ -32,6 +33,7 @@
   private static final long QUIET_NANOS = 60_000_000L;
   // All sessions of an instance within about a second, without sending them all at once.
   private static final int CLOSES_A_TICK = 6;
+  private static final String METRICS_PATH = "/metrics";
   private static final String PLAIN_TEXT = "text/plain";
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
@@ -49,6 +51,7 @@
   private final Peers peers;
   private final RateLimits limits;
   private final PromotionDuty promotions;
+  private final Metrics metrics = new Metrics();
   private final GatewayContext context;
   private Runnable whenStopped = () -> {};
   private boolean stopping;
@@ -89,7 +92,9 @@
             new ReadPlacement(settings.failureDomain()),
             pools,
             limits,
-            new RequestLog(loop));
+            new RequestLog(loop),
+            metrics);
+    gauges();
   }
 
   /** Opens the instance; it serves while the loop runs. */
@@ -99,6 +104,8 @@
     new TcpListener(loop, settings.callersListen(), this::session);
     new TcpListener(
         loop, settings.readinessListen(), channel -> new HttpResponder(channel, this::readiness));
+    new TcpListener(
+        loop, settings.metricsListen(), channel -> new HttpResponder(channel, this::answerMetrics));
     new TcpListener(loop, settings.peersListen(), peers::serve);
     peers.start(limits);
     sync.start();
@@ -111,6 +118,26 @@
     watch.removed(target);
   }
 
+  private void gauges() {
+    metrics.gauge("sessions", "Open sessions of callers", sessions::size);
+    metrics.gauge("fleet_size", "Instances that live, this one included", fleet::size);
+    metrics.gauge(
+        "declaration_version",
+        "Version of the declaration in force",
+        () -> declarations.current().version());
+    metrics.gauge(
+        "declaration_proof_age_milliseconds",
+        "Age of the last proof that the declaration in force is the newest; -1 without one",
+        declarations::proofAgeMs);
+    metrics.gauge("target_connections", "Open connections to targets", pools::connections);
+    metrics.gauge("ready", "1 if new sessions are taken", () -> ready() ? 1 : 0);
+  }
+
+  private void answerMetrics(HttpCall call) {
+    boolean known = call.path().equals(METRICS_PATH);
+    call.respond(known ? OK : NOT_FOUND, PLAIN_TEXT, known ? metrics.text() : "not found\n");
+  }
+
   private CallerSession session(TcpChannel channel) {
     CallerSession session = new CallerSession(context, channel, sessions::remove);
     sessions.add(session);
@@ -129,7 +156,7 @@
 
   /** Returns whether the balancer may send new sessions here. */
   public boolean ready() {
-    return !stopping && sync.loaded() && declarations.keysProven();
+    return !stopping && sync.loaded() && declarations.keysProven() && limits.hasShare();
   }
 
   private void tick() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.CallerCodec;
 
@@ -20,7 +21,8 @@
     ReadPlacement placement,
     Pools pools,
     RateLimits limits,
-    RequestLog log) {
+    RequestLog log,
+    Metrics metrics) {
 
   /** Returns the connections to {@code target}. */
   TargetPool pool(TargetState target) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -73,6 +73,15 @@
     }
   }
 
+  /** Returns how many connections there are to all targets. */
+  int connections() {
+    int count = 0;
+    for (TargetPool pool : pools.values()) {
+      count += pool.size();
+    }
+    return count;
+  }
+
   void close() {
     List.copyOf(pools.values()).forEach(TargetPool::close);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
@@ -41,6 +41,7 @@
   private final AllowanceLedger ledger = new AllowanceLedger(SETTINGS);
   private final Map<Long, Listener> waiting = new HashMap<>();
   private long nextTicket = 1;
+  private boolean hasShare;
   private long limitsVersion = Long.MIN_VALUE;
 
   RateLimits(EventLoop loop, Declarations declarations, Fleet fleet, Peers peers) {
@@ -73,6 +74,11 @@
     carryOut(ledger.granted(peer, answer, loop.nowNanos()));
   }
 
+  /** Returns whether this instance has a part of the limits. */
+  boolean hasShare() {
+    return hasShare;
+  }
+
   void tick(long nowNanos) {
     refresh();
     ledger.setPeers(peers.up().stream().map(PeerLink::peer).toList());
@@ -81,6 +87,7 @@
     ledger.setShare(
         new SlotShare(SharePart.NONE, new SharePart(fraction, nowNanos + validNanos)), nowNanos);
     carryOut(ledger.tick(nowNanos));
+    hasShare = fraction > 0;
   }
 
   private void refresh() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -62,6 +62,11 @@
     return target;
   }
 
+  /** Returns how many connections there are, open or opening. */
+  int size() {
+    return all.size();
+  }
+
   /** Returns how many tries to open a connection failed since one succeeded. */
   int failedOpens() {
     return failedOpens;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -113,7 +113,7 @@
   private Position lowerBound(GroupState group) {
     long sinceNanos =
         receivedNanos
-            - TimeUnit.MILLISECONDS.toNanos(route.maxStalenessMs())
+            - TimeUnit.MILLISECONDS.toNanos(route.acceptedAgeMs())
             + STALENESS_MARGIN_NANOS;
     Position bound = group.sightings().lowerBound(sinceNanos);
     if (bound == null || ownCommit == null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -37,9 +37,12 @@
 
   /** Counts an answered request. */
   public void answered(String organisation, String operation, ResultCode code, long nanos) {
-    requestSeconds
-        .labelValues(organisation, operation, String.valueOf(code.number()))
-        .observe(nanos / 1e9);
+    answered(organisation, operation, String.valueOf(code.number()), nanos);
+  }
+
+  /** Counts an answered request by a result in words. */
+  public void answered(String organisation, String operation, String result, long nanos) {
+    requestSeconds.labelValues(organisation, operation, result).observe(nanos / 1e9);
   }
 
   /** Counts an answered read by the role of its target. */
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerCodecTest.java
@@ -0,0 +1,63 @@
+package io.hickorydrift.proxy.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.hickorydrift.core.message.GrantAnswer;
+import io.hickorydrift.core.message.GrantRequest;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.proxy.net.OutBuffer;
+import java.nio.ByteBuffer;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class PeerCodecTest {
+  static List<PeerMessage> messages() {
+    return List.of(
+        new PeerMessage.Ping("gw-1", 7),
+        new PeerMessage.Pong(
+            7,
+            12,
+            -1,
+            List.of(
+                new PeerMessage.GroupNews("g", new Position(3, 1207), 40, "t1", 0),
+                new PeerMessage.GroupNews("h", null, 0, "", 900))),
+        new PeerMessage.AskTokens(new GrantRequest(4, "red", 1.5, List.of(1L, 2L))),
+        new PeerMessage.GiveTokens(new GrantAnswer(4, "red", 9, 0.25)),
+        new PeerMessage.AskDeclaration());
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void readsWhatItWrites(PeerMessage message) {
+    OutBuffer out = new OutBuffer();
+    PeerCodec.write(out, message);
+    byte[] bytes = out.toBytes();
+    assertThat(PeerCodec.take(ByteBuffer.wrap(bytes))).isEqualTo(message);
+    for (int cut = 0; cut < bytes.length; cut++) {
+      assertThat(PeerCodec.take(ByteBuffer.wrap(bytes, 0, cut))).isNull();
+    }
+  }
+
+  @Property(tries = 2_000, seed = "20261204")
+  void anyBytesAreMessageOrRefused(@ForAll @Size(max = 120) byte[] bytes) {
+    ByteBuffer in = ByteBuffer.allocate(bytes.length + 4);
+    in.putInt(bytes.length).put(bytes).flip();
+    try {
+      PeerCodec.take(in);
+    } catch (IllegalArgumentException expected) {
+      assertThat(expected.getMessage()).isNotEmpty();
+    }
+  }
+
+  @ParameterizedTest
+  @org.junit.jupiter.params.provider.ValueSource(ints = {0, -1, Integer.MAX_VALUE})
+  void lengthsOutOfRangeAreRefused(int length) {
+    ByteBuffer in = ByteBuffer.allocate(8).putInt(length).putInt(0).flip();
+    assertThatThrownBy(() -> PeerCodec.take(in)).isInstanceOf(IllegalArgumentException.class);
+  }
+}
