--- a/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
@@ -17,6 +17,9 @@
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
+  private static final int UNUSED_BITS = 12;
+  private static final double HALF = 0.5;
+
   private Rendezvous() {}
 
   /** Returns the candidates, the best for {@code key} first. */
@@ -30,6 +33,12 @@
     return ranked;
   }
 
+  /** Returns a number between 0 and 1, exclusive, that {@code key} and {@code candidate} fix. */
+  static double unit(String key, String candidate) {
+    long bits = weight(hash(key), candidate) >>> UNUSED_BITS;
+    return (bits + HALF) / (1L << (Long.SIZE - UNUSED_BITS));
+  }
+
   private static long weight(long keyHash, Object candidate) {
     return mix(keyHash ^ mix(hash(candidate.toString())));
   }
--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/limit/SharedLimitsTest.java
@@ -0,0 +1,198 @@
+package io.hickorydrift.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.message.GrantAnswer;
+import io.hickorydrift.core.message.GrantRequest;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SharedLimitsTest {
+  private static final long MS = 1_000_000L;
+  private static final String RED = "red";
+
+  /** Instances that ask each other over links that delay and lose. */
+  private static final class Fleet {
+    private record Event(long atNanos, long order, Runnable action) implements Comparable<Event> {
+      @Override
+      public int compareTo(Event other) {
+        int byTime = Long.compare(atNanos, other.atNanos);
+        return byTime != 0 ? byTime : Long.compare(order, other.order);
+      }
+    }
+
+    private final List<SharedLimits> instances = new ArrayList<>();
+    private final List<String> names = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Random random;
+    private final double lossPart;
+    private final List<Long> admitted = new ArrayList<>();
+    private final Map<Long, Integer> homeOf = new HashMap<>();
+    private final ArrayDeque<Integer> dead = new ArrayDeque<>();
+    private long nowNanos;
+    private long order;
+    private long ticket;
+    private int refused;
+    private final List<Long> arrivals = new ArrayList<>();
+
+    private Fleet(int size, RateLimit limit, double lossPart, long seed) {
+      this.lossPart = lossPart;
+      random = new Random(seed);
+      for (int i = 0; i < size; i++) {
+        names.add("gw-" + i);
+        instances.add(new SharedLimits());
+      }
+      List<String> holders = RateHolders.of(RED, limit, names);
+      for (int i = 0; i < size; i++) {
+        SharedLimits instance = instances.get(i);
+        instance.setLimits(Map.of(RED, limit), 0);
+        List<String> others = new ArrayList<>(holders);
+        boolean holds = others.remove(names.get(i));
+        instance.setHolders(RED, others, holds ? 1.0 / holders.size() : 0, 0);
+      }
+    }
+
+    private void at(long nanos, Runnable action) {
+      events.add(new Event(nanos, order++, action));
+    }
+
+    private void carryOut(int from, List<AllowanceAction> actions) {
+      for (AllowanceAction action : actions) {
+        if (action instanceof AllowanceAction.Admit) {
+          admitted.add(nowNanos);
+        } else if (action instanceof AllowanceAction.Refuse) {
+          refused++;
+        } else if (action instanceof AllowanceAction.Ask ask) {
+          send(() -> answer(from, names.indexOf(ask.peer()), ask.request()));
+        }
+      }
+    }
+
+    private void send(Runnable arrival) {
+      if (random.nextDouble() >= lossPart) {
+        at(nowNanos + (long) (random.nextDouble() * 4 * MS), arrival);
+      }
+    }
+
+    private void answer(int from, int holder, GrantRequest request) {
+      if (dead.contains(holder)) {
+        return;
+      }
+      GrantAnswer answer = instances.get(holder).asked(request, nowNanos);
+      send(() -> carryOut(from, instances.get(from).granted(answer, nowNanos)));
+    }
+
+    private int refusedByOneBucket(double rate) {
+      TokenBucket bucket = new TokenBucket(rate, rate, 0);
+      int count = 0;
+      for (long arrivalNanos : arrivals) {
+        if (bucket.level(arrivalNanos) < 1) {
+          count++;
+        } else {
+          bucket.take(1, arrivalNanos);
+        }
+      }
+      return count;
+    }
+
+    private void run(double perSecond, long untilMs, int[] weights) {
+      for (long ms = 0; ms < untilMs; ms += 5) {
+        for (int i = 0; i < instances.size(); i++) {
+          int instance = i;
+          at(ms * MS, () -> carryOut(instance, instances.get(instance).tick(nowNanos)));
+        }
+      }
+      int sum = 0;
+      for (int weight : weights) {
+        sum += weight;
+      }
+      double ms = 0;
+      while (ms < untilMs) {
+        ms += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+        int pick = random.nextInt(sum);
+        int instance = 0;
+        while (pick >= weights[instance]) {
+          pick -= weights[instance++];
+        }
+        int chosen = instance;
+        arrivals.add((long) (ms * MS));
+        at(
+            (long) (ms * MS),
+            () -> carryOut(chosen, instances.get(chosen).request(RED, ticket++, nowNanos)));
+      }
+      while (!events.isEmpty()) {
+        Event next = events.poll();
+        nowNanos = next.atNanos;
+        next.action.run();
+      }
+    }
+  }
+
+  private static int[] weights(int size, int first) {
+    int[] weights = new int[size];
+    java.util.Arrays.fill(weights, 1);
+    weights[0] = first;
+    return weights;
+  }
+
+  @Property(tries = 150, seed = "31")
+  void neverMoreThanRateTimesWindowPlusBurst(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 1, max = 12) int size,
+      @ForAll @DoubleRange(min = 2, max = 60) double rate,
+      @ForAll @DoubleRange(min = 0, max = 0.3) double loss,
+      @ForAll @IntRange(min = 1, max = 8) int pressure) {
+    RateLimit limit = new RateLimit(rate, Math.max(2, rate));
+    Fleet fleet = new Fleet(size, limit, loss, seed);
+    fleet.run(rate * pressure, 4_000, weights(size, 1 + pressure));
+    for (int i = 0; i < fleet.admitted.size(); i++) {
+      for (int j = i; j < fleet.admitted.size(); j++) {
+        double seconds = (fleet.admitted.get(j) - fleet.admitted.get(i)) / 1e9;
+        assertThat((double) (j - i + 1))
+            .as("admitted within %.3f s", seconds)
+            .isLessThanOrEqualTo(limit.burst() + rate * seconds + 1e-3);
+      }
+    }
+  }
+
+  /**
+   * Load below the rate, even or on one instance: little more is refused than one bucket in one
+   * place would refuse by chance.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "7, 84, 1",
+    "7, 84, 30",
+    "7, 15, 1",
+    "7, 15, 30",
+    "16, 6, 1",
+    "16, 6, 30",
+    "86, 10, 1",
+  })
+  void loadBelowTheRateIsServedWhereverItComes(int size, double rate, int first) {
+    Fleet fleet = new Fleet(size, new RateLimit(rate, rate), 0, 5);
+    fleet.run(rate / 1.6, 30_000, weights(size, first));
+    int all = fleet.refused + fleet.admitted.size();
+    assertThat((double) (fleet.refused - fleet.refusedByOneBucket(rate)) / all).isLessThan(0.03);
+  }
+
+  /** Load of twice the rate; what is admitted is close to the rate. */
+  @ParameterizedTest
+  @CsvSource({"7, 84", "7, 15", "16, 6"})
+  void loadAboveTheRateGetsTheRate(int size, double rate) {
+    Fleet fleet = new Fleet(size, new RateLimit(rate, rate), 0, 5);
+    fleet.run(rate * 2, 30_000, weights(size, 1));
+    assertThat(fleet.admitted.size() / 30.0).isBetween(rate * 0.93, rate * 1.05);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -23,6 +23,7 @@
 final class CallerSession implements ChannelHandler {
   // Callers send one statement and wait; more than a few at once are not from a caller.
   private static final int MAX_WAITING = 64;
+  private static final int MAX_HOME_TRIES = 2;
 
   private final GatewayContext context;
   private final TcpChannel channel;
@@ -32,7 +33,7 @@
   private String database;
   private String credential;
   private SessionState state = SessionState.IDLE;
-  private Transaction transaction;
+  private OpenTransaction transaction;
   private boolean running;
   private long receivedNanos;
   private long answeredNanos;
@@ -180,14 +181,14 @@
   }
 
   private void beginAdmitted(Statement statement, Admission admission) {
+    boolean readOnly = statement.kind() == StatementKind.BEGIN_READ_ONLY;
+    Route route = admission.route();
+    String organisation = admission.organisation();
     transaction =
-        new Transaction(
-            context,
-            admission.route(),
-            admission.organisation(),
-            data,
-            statement.kind() == StatementKind.BEGIN_READ_ONLY,
-            receivedNanos);
+        context.homes().remote(route.group()) == null
+            ? new Transaction(context, route, organisation, data, readOnly, receivedNanos)
+            : new RemoteTransaction(
+                context.loop(), context.homes(), route, organisation, data, readOnly);
     answer(Outcome.done(SessionState.IN_TRANSACTION));
   }
 
@@ -223,6 +224,12 @@
 
   private void executeAdmitted(Statement statement, Admission admission) {
     running = true;
+    PeerLink home = context.homes().remote(admission.route().group());
+    if (home != null) {
+      runAtHome(home, statement, admission, 1);
+      return;
+    }
+    context.homes().served(admission.route().group());
     if (data.writes(statement)) {
       new WriteRun(
               context,
@@ -246,6 +253,35 @@
     }
   }
 
+  private void runAtHome(PeerLink home, Statement statement, Admission admission, int tries) {
+    Route route = admission.route();
+    home.forward(
+        data.forward(statement, 0, false, admission.organisation(), route),
+        route.statementTimeoutMs(),
+        outcome -> {
+          if (outcome != null) {
+            if (outcome.failure() == null && data.writes(statement)) {
+              data.committed(route.group(), outcome.position());
+            }
+            finished(statement, outcome);
+          } else {
+            homeLost(statement, admission, tries);
+          }
+        });
+  }
+
+  /** A read runs once more at the next home; whether a write took effect is not known. */
+  private void homeLost(Statement statement, Admission admission, int tries) {
+    PeerLink next = context.homes().remote(admission.route().group());
+    if (data.writes(statement)) {
+      finished(statement, Outcome.failed(FailureCode.IN_DOUBT, "home is lost", SessionState.IDLE));
+    } else if (next != null && tries < MAX_HOME_TRIES && !channel.isClosed()) {
+      runAtHome(next, statement, admission, tries + 1);
+    } else {
+      finished(statement, Outcome.failed(FailureCode.FAILED, "home is lost", SessionState.IDLE));
+    }
+  }
+
   private void inTransaction(Statement statement) {
     Admission admission = admitKey();
     if (admission.refusal() != null) {
@@ -265,6 +301,11 @@
       refuse(statement, admission);
       return;
     }
+    if (context.homes().remote(admission.route().group()) != null) {
+      // The home counts the operation.
+      onAdmitted.accept(admission);
+      return;
+    }
     running = true;
     context
         .limits()
@@ -376,7 +417,7 @@
 
   private void dropTransaction() {
     if (transaction != null) {
-      Transaction open = transaction;
+      OpenTransaction open = transaction;
       transaction = null;
       open.rollback();
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.placement.HomePlan;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Done;
@@ -8,6 +9,7 @@
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import io.hickorydrift.proxy.port.KeyValueStore.Write;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,11 +33,14 @@
   private final KeyValueStore store;
   private final String instance;
   private final String address;
+  private final double weight;
   private final Map<String, String> members = new HashMap<>();
+  private long changes;
   private long lease;
   private boolean leaving;
 
-  Fleet(EventLoop loop, KeyValueStore store, String instance, String address) {
+  Fleet(EventLoop loop, KeyValueStore store, String instance, String address, double weight) {
+    this.weight = weight;
     this.loop = loop;
     this.store = store;
     this.instance = instance;
@@ -46,6 +51,30 @@
     return key.startsWith(PREFIX);
   }
 
+  /** Returns a number that changes whenever an instance comes or goes. */
+  long changes() {
+    return changes;
+  }
+
+  /** Returns the instances that live and what each can carry. */
+  List<HomePlan.Member> members() {
+    List<HomePlan.Member> all = new ArrayList<>();
+    members.forEach((id, entry) -> all.add(new HomePlan.Member(id, weight(entry))));
+    if (all.isEmpty()) {
+      all.add(new HomePlan.Member(instance, 1));
+    }
+    return all;
+  }
+
+  private static double weight(String entry) {
+    try {
+      return Double.parseDouble(entry.substring(entry.indexOf(' ') + 1));
+    } catch (NumberFormatException e) {
+      Logger.warn("event=fleet_entry_unreadable entry=\"{}\"", entry);
+      return 0;
+    }
+  }
+
   /** Returns how many instances live, at least this one. */
   int size() {
     return Math.max(1, members.size());
@@ -56,6 +85,7 @@
     String now = item.value() == null ? null : new String(item.value(), StandardCharsets.UTF_8);
     String before = now == null ? members.remove(name) : members.put(name, now);
     if (!Objects.equals(before, now)) {
+      changes++;
       Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
     }
     if (now == null && name.equals(instance) && !leaving) {
@@ -64,6 +94,11 @@
     }
   }
 
+  /** Returns the ids of all instances that live. */
+  Set<String> ids() {
+    return members.keySet();
+  }
+
   /** Returns whether this instance's entry stands. */
   boolean belongs() {
     return members.containsKey(instance);
@@ -71,13 +106,16 @@
 
   /** Returns the addresses of the other instances by id. */
   Map<String, String> others() {
-    Map<String, String> others = new HashMap<>(members);
+    Map<String, String> others = new HashMap<>();
+    members.forEach((id, entry) -> others.put(id, entry.split(" ", 2)[0]));
     others.remove(instance);
     return others;
   }
 
   void retain(Set<String> kept) {
-    members.keySet().removeIf(name -> !kept.contains(PREFIX + name));
+    if (members.keySet().removeIf(name -> !kept.contains(PREFIX + name))) {
+      changes++;
+    }
   }
 
   /** Enters this instance and keeps its entry. */
@@ -98,7 +136,7 @@
   }
 
   private void enter() {
-    byte[] value = address.getBytes(StandardCharsets.UTF_8);
+    byte[] value = (address + " " + weight).getBytes(StandardCharsets.UTF_8);
     Write write =
         new Write(List.of(), List.of(new Put(PREFIX + instance, value, lease)), List.of());
     store.write(write, this::entered);
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -0,0 +1,149 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.declaration.Consistency;
+import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.Prepared;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.Statement;
+import io.hickorydrift.core.statement.StatementKind;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Fields of forwarded statements and their results.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class ForwardCodec {
+  private static final int NONE = -1;
+
+  private ForwardCodec() {}
+
+  static void pack(MessagePacker packer, PeerMessage.Forward forward) throws IOException {
+    packer.packLong(forward.correlation()).packLong(forward.transaction());
+    packer.packBoolean(forward.readOnly()).packString(forward.organisation());
+    Route route = forward.route();
+    packer.packString(route.group()).packInt(route.consistency().ordinal());
+    packer.packLong(route.statementTimeoutMs()).packLong(route.objectiveMs());
+    packer.packInt(route.priority()).packLong(route.acceptedAgeMs());
+    Statement statement = forward.statement();
+    packer.packString(statement.id()).packInt(statement.kind().ordinal());
+    packer.packString(statement.text()).packString(statement.name());
+    packer.packString(statement.argument());
+    packer.packBoolean(forward.shape() != null);
+    if (forward.shape() != null) {
+      packer.packBoolean(forward.shape().writes()).packString(forward.shape().shape());
+    }
+    packer.packMapHeader(forward.values().size());
+    for (Map.Entry<String, String> value : forward.values().entrySet()) {
+      packer.packString(value.getKey()).packString(value.getValue());
+    }
+    pack(packer, forward.ownCommit());
+  }
+
+  static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
+    final long correlation = unpacker.unpackLong();
+    final long transaction = unpacker.unpackLong();
+    final boolean readOnly = unpacker.unpackBoolean();
+    final String organisation = unpacker.unpackString();
+    Route route =
+        new Route(
+            "",
+            unpacker.unpackString(),
+            constant(Consistency.values(), unpacker.unpackInt()),
+            unpacker.unpackLong(),
+            unpacker.unpackLong(),
+            unpacker.unpackInt(),
+            unpacker.unpackLong(),
+            true);
+    Statement statement =
+        new Statement(
+            unpacker.unpackString(),
+            constant(StatementKind.values(), unpacker.unpackInt()),
+            unpacker.unpackString(),
+            unpacker.unpackString(),
+            unpacker.unpackString(),
+            false);
+    Prepared shape =
+        unpacker.unpackBoolean()
+            ? new Prepared(unpacker.unpackBoolean(), unpacker.unpackString())
+            : null;
+    int count = PeerCodec.count(unpacker.unpackMapHeader(), PeerCodec.MAX_ITEMS);
+    Map<String, String> values = new LinkedHashMap<>();
+    for (int i = 0; i < count; i++) {
+      values.put(unpacker.unpackString(), unpacker.unpackString());
+    }
+    return new PeerMessage.Forward(
+        correlation,
+        transaction,
+        readOnly,
+        organisation,
+        route,
+        statement,
+        shape,
+        values,
+        unpackPosition(unpacker));
+  }
+
+  static void pack(MessagePacker packer, PeerMessage.Result result) throws IOException {
+    Outcome outcome = result.outcome();
+    packer.packLong(result.correlation()).packArrayHeader(outcome.rows().size());
+    for (String row : outcome.rows()) {
+      packer.packString(row);
+    }
+    packer.packBoolean(outcome.signature() != null);
+    if (outcome.signature() != null) {
+      packer.packString(outcome.signature());
+    }
+    packer.packInt(outcome.failure() == null ? NONE : outcome.failure().ordinal());
+    packer.packString(outcome.reason()).packInt(outcome.state().ordinal());
+    pack(packer, outcome.position());
+  }
+
+  static PeerMessage.Result unpackResult(MessageUnpacker unpacker) throws IOException {
+    final long correlation = unpacker.unpackLong();
+    int count = PeerCodec.count(unpacker.unpackArrayHeader(), PeerCodec.MAX_ITEMS);
+    List<String> rows = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      rows.add(unpacker.unpackString());
+    }
+    String signature = unpacker.unpackBoolean() ? unpacker.unpackString() : null;
+    int failure = unpacker.unpackInt();
+    return new PeerMessage.Result(
+        correlation,
+        new Outcome(
+            rows,
+            signature,
+            failure == NONE ? null : constant(FailureCode.values(), failure),
+            unpacker.unpackString(),
+            constant(SessionState.values(), unpacker.unpackInt()),
+            unpackPosition(unpacker)));
+  }
+
+  private static void pack(MessagePacker packer, Position position) throws IOException {
+    packer.packBoolean(position != null);
+    if (position != null) {
+      packer.packLong(position.term()).packLong(position.index());
+    }
+  }
+
+  private static Position unpackPosition(MessageUnpacker unpacker) throws IOException {
+    return unpacker.unpackBoolean()
+        ? new Position(unpacker.unpackLong(), unpacker.unpackLong())
+        : null;
+  }
+
+  private static <T> T constant(T[] constants, int ordinal) {
+    if (ordinal < 0 || ordinal >= constants.length) {
+      throw new IllegalArgumentException("unknown constant " + ordinal);
+    }
+    return constants[ordinal];
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -64,12 +64,14 @@
     this.platform = platform;
     declarations = new Declarations(loop, settings.keyValidityMs() - KEY_MARGIN_MS);
     KeyValueStore store = platform.store(loop, settings.storeAddress());
-    fleet = new Fleet(loop, store, settings.id(), settings.peersListen());
-    pools = new Pools(loop, platform.targetCodec(), declarations, fleet);
+    fleet = new Fleet(loop, store, settings.id(), settings.peersListen(), settings.homeWeight());
+    Homes homes = new Homes(loop, declarations, fleet, settings.id());
+    pools = new Pools(loop, platform.targetCodec(), homes);
     Directory directory = new Directory(this::removed);
-    watch = new PrimaryWatch(loop, directory, pools, declarations);
-    peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, watch);
-    limits = new RateLimits(loop, declarations, fleet, peers);
+    watch = new PrimaryWatch(loop, directory, pools, declarations, homes);
+    peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, watch, homes);
+    homes.start(peers);
+    limits = new RateLimits(loop, declarations, fleet, peers, settings.id());
     promotions =
         new PromotionDuty(
             loop,
@@ -80,7 +82,7 @@
             pools,
             watch,
             peers,
-            fleet,
+            homes,
             settings.id());
     sync = new StoreSync(loop, store, platform, declarations, directory, fleet);
     context =
@@ -93,7 +95,8 @@
             pools,
             limits,
             new RequestLog(loop),
-            metrics);
+            metrics,
+            homes);
     gauges();
   }
 
@@ -107,7 +110,8 @@
     new TcpListener(
         loop, settings.metricsListen(), channel -> new HttpResponder(channel, this::answerMetrics));
     new TcpListener(loop, settings.peersListen(), peers::serve);
-    peers.start(limits);
+    peers.start(limits, new HomeService(context));
+    limits.start();
     sync.start();
     fleet.join();
     loop.every(TICK_MS, this::tick);
@@ -162,7 +166,7 @@
   private void tick() {
     long nowNanos = loop.nowNanos();
     pools.tick(nowNanos);
-    limits.tick(nowNanos);
+    limits.tick();
     watch.tick(nowNanos);
     if (!stopping) {
       promotions.tick(nowNanos, sync.settled());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -22,7 +22,8 @@
     Pools pools,
     RateLimits limits,
     RequestLog log,
-    Metrics metrics) {
+    Metrics metrics,
+    Homes homes) {
 
   /** Returns the connections to {@code target}. */
   TargetPool pool(TargetState target) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
@@ -15,6 +15,8 @@
  * @param promotionAddress host and port for promotion orders
  * @param keyValidityMs how long after the acknowledgement of a withdrawal a key may still be used
  * @param stopMs time between the signal to stop and the end of the process
+ * @param cores processor cores that the instance may use
+ * @param linkMbps speed of its link in megabits a second
  */
 public record GatewaySettings(
     String id,
@@ -26,4 +28,15 @@
     String storeAddress,
     String promotionAddress,
     long keyValidityMs,
-    long stopMs) {}
+    long stopMs,
+    double cores,
+    long linkMbps) {
+  // Below these an instance cannot carry a group's traffic twice over its link.
+  private static final double HOME_CORES = 0.6;
+  private static final long HOME_LINK_MBPS = 40;
+
+  /** Returns how much of other instances' work this one can carry; 0 for none. */
+  public double homeWeight() {
+    return cores >= HOME_CORES && linkMbps >= HOME_LINK_MBPS ? cores : 0;
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -17,6 +17,7 @@
 public final class GatewaySettingsReader {
   private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+  private static final Pattern FRACTION = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,6})?");
   private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
 
   private final String file;
@@ -45,7 +46,9 @@
             value("platform", "store", ADDRESS),
             value("platform", "promotion", ADDRESS),
             whole("bounds", "key_validity_ms"),
-            whole("stop", "grace_ms"));
+            whole("stop", "grace_ms"),
+            fraction("capacity", "core_share") * fraction("capacity", "cores"),
+            (long) fraction("capacity", "link_mbps"));
     if (!problems.isEmpty()) {
       throw new SettingsException(problems);
     }
@@ -62,6 +65,11 @@
     return value;
   }
 
+  private double fraction(String section, String key) {
+    String value = value(section, key, FRACTION);
+    return value.isEmpty() ? 0 : Double.parseDouble(value);
+  }
+
   private long whole(String section, String key) {
     String value = value(section, key, WHOLE);
     return value.isEmpty() ? 0 : Long.parseLong(value);
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeService.java
@@ -0,0 +1,144 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.StatementKind;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Runs statements that other instances forward, and counts their operations.
+ *
+ * <p>Invariant: transactions of a link end with it. Thread safety: confined to the loop's thread.
+ */
+final class HomeService {
+  private final GatewayContext context;
+  private final Map<PeerServer, Map<Long, Transaction>> transactions = new HashMap<>();
+
+  HomeService(GatewayContext context) {
+    this.context = context;
+  }
+
+  /** Runs a forwarded statement and answers on {@code server}. */
+  void run(PeerServer server, PeerMessage.Forward forward) {
+    long receivedNanos = context.loop().nowNanos();
+    context.homes().served(forward.route().group());
+    Consumer<Outcome> answer =
+        outcome -> server.answer(new PeerMessage.Result(forward.correlation(), outcome));
+    SessionData session = SessionData.of(forward);
+    Transaction open = transactionOf(server, forward.transaction());
+    if (open != null) {
+      runIn(open, server, forward, receivedNanos, session, answer);
+      return;
+    }
+    context
+        .limits()
+        .request(
+            forward.organisation(),
+            new RateLimits.Listener() {
+              @Override
+              public void admitted() {
+                admit(server, forward, receivedNanos, session, answer);
+              }
+
+              @Override
+              public void refused(long retryAfterMs) {
+                answer.accept(
+                    Outcome.failed(
+                        FailureCode.BUSY,
+                        "rate used up; come back in " + retryAfterMs + " ms",
+                        afterRefusal(forward)));
+              }
+            });
+  }
+
+  private static SessionState afterRefusal(PeerMessage.Forward forward) {
+    boolean inTransaction =
+        forward.transaction() != 0 && forward.statement().kind() != StatementKind.COMMIT;
+    return inTransaction ? SessionState.FAILED : SessionState.IDLE;
+  }
+
+  private Transaction transactionOf(PeerServer server, long number) {
+    Map<Long, Transaction> open = transactions.get(server);
+    return open == null || number == 0 ? null : open.get(number);
+  }
+
+  private void admit(
+      PeerServer server,
+      PeerMessage.Forward forward,
+      long receivedNanos,
+      SessionData session,
+      Consumer<Outcome> answer) {
+    if (forward.transaction() != 0) {
+      Transaction begun =
+          new Transaction(
+              context,
+              forward.route(),
+              forward.organisation(),
+              session,
+              forward.readOnly(),
+              receivedNanos);
+      transactions
+          .computeIfAbsent(server, key -> new HashMap<>())
+          .put(forward.transaction(), begun);
+      runIn(begun, server, forward, receivedNanos, session, answer);
+    } else if (session.writes(forward.statement())) {
+      new WriteRun(
+              context,
+              forward.route(),
+              forward.organisation(),
+              session,
+              forward.statement(),
+              receivedNanos,
+              answer)
+          .start();
+    } else {
+      new ReadRun(
+              context,
+              forward.route(),
+              forward.organisation(),
+              session,
+              forward.statement(),
+              receivedNanos,
+              answer)
+          .start();
+    }
+  }
+
+  private void runIn(
+      Transaction open,
+      PeerServer server,
+      PeerMessage.Forward forward,
+      long receivedNanos,
+      SessionData session,
+      Consumer<Outcome> answer) {
+    open.useSession(session);
+    open.run(
+        forward.statement(),
+        receivedNanos,
+        outcome -> {
+          if (outcome.state() != SessionState.IN_TRANSACTION) {
+            end(server, forward.transaction());
+          }
+          answer.accept(outcome);
+        });
+  }
+
+  /** Rolls back what is open of a transaction. */
+  void end(PeerServer server, long number) {
+    Map<Long, Transaction> open = transactions.get(server);
+    Transaction ended = open == null ? null : open.remove(number);
+    if (ended != null) {
+      ended.rollback();
+    }
+  }
+
+  /** Rolls back all that was open on a link that is gone. */
+  void lost(PeerServer server) {
+    Map<Long, Transaction> open = transactions.remove(server);
+    if (open != null) {
+      open.values().forEach(Transaction::rollback);
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -0,0 +1,125 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.declaration.DeclaredGroup;
+import io.hickorydrift.core.placement.HomePlan;
+import io.hickorydrift.proxy.net.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Where each group's statements run, by the plan for the instances that live now.
+ *
+ * <p>Thread safety: confined to the loop's thread.
+ */
+final class Homes {
+  private static final long SERVING_NANOS = 5_000_000_000L;
+
+  private final EventLoop loop;
+  private final Declarations declarations;
+  private final Fleet fleet;
+  private final String self;
+  private final Map<String, Long> servedNanos = new HashMap<>();
+  private Peers peers;
+  private HomePlan plan;
+  private long planChanges = -1;
+
+  Homes(EventLoop loop, Declarations declarations, Fleet fleet, String self) {
+    this.loop = loop;
+    this.declarations = declarations;
+    this.fleet = fleet;
+    this.self = self;
+  }
+
+  void start(Peers links) {
+    peers = links;
+  }
+
+  private HomePlan plan() {
+    if (planChanges != fleet.changes()) {
+      planChanges = fleet.changes();
+      plan = new HomePlan(fleet.members());
+    }
+    return plan;
+  }
+
+  private int maxConnections(String group) {
+    DeclaredGroup declared = declarations.current().groups().get(group);
+    return declared == null ? 1 : declared.maxConnections();
+  }
+
+  /** Returns whether every instance serves {@code group} itself. */
+  boolean direct(String group) {
+    return plan().direct(maxConnections(group));
+  }
+
+  /** Returns whether all groups are served by every instance itself. */
+  boolean allDirect() {
+    for (String group : declarations.current().groups().keySet()) {
+      if (!direct(group)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns the link to the instance that serves {@code group}, or null for this instance. */
+  PeerLink remote(String group) {
+    if (direct(group)) {
+      return null;
+    }
+    for (String id : plan().ranked(group)) {
+      if (id.equals(self)) {
+        return null;
+      }
+      PeerLink link = peers.link(id);
+      if (link != null && link.up()) {
+        return link;
+      }
+    }
+    return null;
+  }
+
+  /** Returns whether this instance may serve {@code group}. */
+  boolean serves(String group) {
+    return direct(group) || plan().ranked(group).contains(self);
+  }
+
+  /** A statement of {@code group} runs here. */
+  void served(String group) {
+    servedNanos.put(group, loop.nowNanos());
+  }
+
+  /** Returns how many connections to each target of {@code group} this instance may hold. */
+  int connections(String group) {
+    Long last = servedNanos.get(group);
+    boolean serving = last != null && loop.nowNanos() - last < SERVING_NANOS;
+    return plan().connections(group, maxConnections(group), self, serving);
+  }
+
+  /** Returns the instances that watch the primary of {@code group}; all where it is direct. */
+  List<String> observers(String group) {
+    if (direct(group)) {
+      List<String> all = new ArrayList<>(fleet.others().keySet());
+      all.add(self);
+      return all;
+    }
+    return plan().ranked(group);
+  }
+
+  /** Returns the instances that this one keeps links to. */
+  Set<String> neighbours() {
+    if (allDirect()) {
+      return fleet.others().keySet();
+    }
+    Set<String> ids = new LinkedHashSet<>();
+    for (String group : declarations.current().groups().keySet()) {
+      ids.addAll(plan().ranked(group));
+    }
+    ids.remove(self);
+    return ids;
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
@@ -20,13 +20,16 @@
  */
 final class PeerCodec {
   private static final int MAX_FRAME_BYTES = 2 * 1024 * 1024;
-  private static final int MAX_ITEMS = 100_000;
+  static final int MAX_ITEMS = 100_000;
   private static final int PING = 1;
   private static final int PONG = 2;
   private static final int ASK_TOKENS = 3;
   private static final int GIVE_TOKENS = 4;
   private static final int ASK_DECLARATION = 5;
   private static final int GIVE_DECLARATION = 6;
+  private static final int FORWARD = 7;
+  private static final int RESULT = 8;
+  private static final int END_TRANSACTION = 9;
 
   private PeerCodec() {}
 
@@ -63,6 +66,14 @@
       packer.packInt(GIVE_TOKENS).packLong(give.answer().correlationId());
       packer.packString(give.answer().organisation()).packLong(give.answer().grantId());
       packer.packDouble(give.answer().tokens());
+    } else if (message instanceof PeerMessage.Forward forward) {
+      packer.packInt(FORWARD);
+      ForwardCodec.pack(packer, forward);
+    } else if (message instanceof PeerMessage.Result result) {
+      packer.packInt(RESULT);
+      ForwardCodec.pack(packer, result);
+    } else if (message instanceof PeerMessage.EndTransaction end) {
+      packer.packInt(END_TRANSACTION).packLong(end.transaction());
     } else if (message instanceof PeerMessage.AskDeclaration) {
       packer.packInt(ASK_DECLARATION);
     } else if (message instanceof PeerMessage.GiveDeclaration give) {
@@ -122,6 +133,12 @@
                 unpacker.unpackString(),
                 unpacker.unpackLong(),
                 unpacker.unpackDouble()));
+      case FORWARD:
+        return ForwardCodec.unpackForward(unpacker);
+      case RESULT:
+        return ForwardCodec.unpackResult(unpacker);
+      case END_TRANSACTION:
+        return new PeerMessage.EndTransaction(unpacker.unpackLong());
       case ASK_DECLARATION:
         return new PeerMessage.AskDeclaration();
       case GIVE_DECLARATION:
@@ -167,7 +184,7 @@
     return new PeerMessage.AskTokens(new GrantRequest(correlationId, organisation, tokens, used));
   }
 
-  private static int count(int count, int most) {
+  static int count(int count, int most) {
     if (count > most) {
       throw new IllegalArgumentException("too many items in a frame");
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
@@ -5,8 +5,10 @@
 import io.hickorydrift.proxy.net.TcpChannel;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -18,6 +20,8 @@
 final class PeerLink implements ChannelHandler {
   private static final long SILENCE_NANOS = 900_000_000L;
   private static final long REOPEN_NANOS = 300_000_000L;
+  // The home answers within the statement's time; the link's own delays come on top.
+  private static final long FORWARD_MARGIN_MS = 300;
 
   /** Takes what the peer answers. */
   interface Listener {
@@ -37,6 +41,9 @@
   private TcpChannel channel;
   private boolean open;
   private boolean up;
+  private final Map<Long, Consumer<Outcome>> forwarded = new HashMap<>();
+  private long correlations;
+  private long transactions;
   private long sequence;
   private long openedNanos;
   private long heardNanos;
@@ -78,6 +85,56 @@
     channel = TcpChannel.connect(loop, address, this);
   }
 
+  /** Returns a number for a transaction over this link. */
+  long nextTransaction() {
+    return ++transactions;
+  }
+
+  /**
+   * Sends a statement to the peer; {@code onOutcome} gets its outcome, or null if none comes before
+   * the link ends or the time is over.
+   */
+  void forward(PeerMessage.Forward forward, long timeoutMs, Consumer<Outcome> onOutcome) {
+    long correlation = ++correlations;
+    boolean sent =
+        send(
+            new PeerMessage.Forward(
+                correlation,
+                forward.transaction(),
+                forward.readOnly(),
+                forward.organisation(),
+                forward.route(),
+                forward.statement(),
+                forward.shape(),
+                forward.values(),
+                forward.ownCommit()));
+    if (!sent) {
+      onOutcome.accept(null);
+      return;
+    }
+    EventLoop.Timer timer =
+        loop.after(timeoutMs + FORWARD_MARGIN_MS, () -> settle(correlation, null));
+    forwarded.put(
+        correlation,
+        outcome -> {
+          timer.cancel();
+          onOutcome.accept(outcome);
+        });
+  }
+
+  private void settle(long correlation, Outcome outcome) {
+    Consumer<Outcome> listener = forwarded.remove(correlation);
+    if (listener != null) {
+      listener.accept(outcome);
+    }
+  }
+
+  private void loseForwarded() {
+    for (Long correlation : List.copyOf(forwarded.keySet())) {
+      settle(correlation, null);
+    }
+  }
+
   /** Sends a message if the link is open. */
   boolean send(PeerMessage message) {
     if (!open || channel.isClosed()) {
@@ -107,6 +164,7 @@
 
   void close() {
     channel.close();
+    loseForwarded();
   }
 
   @Override
@@ -131,6 +189,10 @@
   }
 
   private void take(PeerMessage message) {
+    if (message instanceof PeerMessage.Result result) {
+      settle(result.correlation(), result.outcome());
+      return;
+    }
     if (!(message instanceof PeerMessage.Pong pong)) {
       listener.answered(this, message);
       return;
@@ -156,5 +218,6 @@
     }
     up = false;
     openedNanos = loop.nowNanos();
+    loseForwarded();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -1,9 +1,13 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.Prepared;
+import io.hickorydrift.core.statement.Statement;
 import java.util.List;
+import java.util.Map;
 
 /**
  * What gateway instances say to each other. A link carries questions of the side that opened it and
@@ -45,6 +49,38 @@
   /** Answers {@link AskTokens}. */
   record GiveTokens(GrantAnswer answer) implements PeerMessage {}
 
+  /**
+   * A caller's statement on its way to the home of its group. Carries all that the home needs of
+   * the session; never the caller's key.
+   *
+   * @param correlation echoed in the result
+   * @param transaction the caller's transaction, 0 outside one; unique on the link
+   * @param readOnly whether the transaction only reads
+   * @param organisation organisation that it runs for
+   * @param route how it is served; its database is not carried
+   * @param statement the statement
+   * @param shape the prepared statement that it executes, or null
+   * @param values the session's values
+   * @param ownCommit position of the session's last commit, or null
+   */
+  record Forward(
+      long correlation,
+      long transaction,
+      boolean readOnly,
+      String organisation,
+      Route route,
+      Statement statement,
+      Prepared shape,
+      Map<String, String> values,
+      Position ownCommit)
+      implements PeerMessage {}
+
+  /** The result of a forwarded statement. */
+  record Result(long correlation, Outcome outcome) implements PeerMessage {}
+
+  /** The caller's transaction is over; what is open of it is rolled back. */
+  record EndTransaction(long transaction) implements PeerMessage {}
+
   /** Asks for the declaration in force. */
   record AskDeclaration() implements PeerMessage {}
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerServer.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerServer.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.proxy.net.TcpChannel;
 import java.nio.ByteBuffer;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -14,10 +15,15 @@
 final class PeerServer implements ChannelHandler {
   private final TcpChannel channel;
   private final BiConsumer<PeerServer, PeerMessage> onQuestion;
+  private final Consumer<PeerServer> onLost;
   private String peer = "unknown";
 
-  PeerServer(TcpChannel channel, BiConsumer<PeerServer, PeerMessage> onQuestion) {
+  PeerServer(
+      TcpChannel channel,
+      BiConsumer<PeerServer, PeerMessage> onQuestion,
+      Consumer<PeerServer> onLost) {
     this.channel = channel;
+    this.onLost = onLost;
     this.onQuestion = onQuestion;
   }
 
@@ -27,6 +33,9 @@
   }
 
   void answer(PeerMessage message) {
+    if (channel.isClosed()) {
+      return;
+    }
     PeerCodec.write(channel.out(), message);
   }
 
@@ -44,11 +53,13 @@
     } catch (IllegalArgumentException e) {
       Logger.warn("event=peer_unreadable peer={} reason=\"{}\"", peer, e.getMessage());
       channel.close();
+      onLost.accept(this);
     }
   }
 
   @Override
   public void closed(String reason) {
     Logger.debug("event=peer_closed peer={} reason=\"{}\"", peer, reason);
+    onLost.accept(this);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -10,8 +10,10 @@
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -33,7 +35,9 @@
   private final Directory directory;
   private final PrimaryWatch watch;
   private final Map<String, PeerLink> links = new HashMap<>();
+  private final Homes homes;
   private RateLimits limits;
+  private HomeService service;
 
   Peers(
       EventLoop loop,
@@ -42,7 +46,8 @@
       PlatformAdapter platform,
       Declarations declarations,
       Directory directory,
-      PrimaryWatch watch) {
+      PrimaryWatch watch,
+      Homes homes) {
     this.loop = loop;
     this.self = self;
     this.fleet = fleet;
@@ -50,20 +55,27 @@
     this.declarations = declarations;
     this.directory = directory;
     this.watch = watch;
+    this.homes = homes;
   }
 
-  void start(RateLimits rateLimits) {
+  void start(RateLimits rateLimits, HomeService homeService) {
     limits = rateLimits;
+    service = homeService;
     loop.every(PING_MS, this::ping);
   }
 
   /** Makes the handler of a link that a peer opened. */
   PeerServer serve(TcpChannel channel) {
-    return new PeerServer(channel, this::asked);
+    return new PeerServer(channel, this::asked, server -> service.lost(server));
   }
 
   private void ping() {
-    Map<String, String> members = fleet.others();
+    Map<String, String> members = new HashMap<>(fleet.others());
+    Set<String> wanted = new HashSet<>(homes.neighbours());
+    if (!homes.allDirect()) {
+      limits.holders().values().forEach(wanted::addAll);
+    }
+    members.keySet().retainAll(wanted);
     links
         .values()
         .removeIf(
@@ -80,6 +92,11 @@
     links.values().forEach(PeerLink::ping);
   }
 
+  /** Returns the link to {@code peer}, or null. */
+  PeerLink link(String peer) {
+    return links.get(peer);
+  }
+
   /** Returns the links whose peer answered lately. */
   List<PeerLink> up() {
     List<PeerLink> up = new ArrayList<>();
@@ -102,6 +119,10 @@
   private void asked(PeerServer server, PeerMessage question) {
     if (question instanceof PeerMessage.Ping ping) {
       server.answer(pong(ping.sequence()));
+    } else if (question instanceof PeerMessage.Forward forward) {
+      service.run(server, forward);
+    } else if (question instanceof PeerMessage.EndTransaction end) {
+      service.end(server, end.transaction());
     } else if (question instanceof PeerMessage.AskTokens ask) {
       limits.asked(server, ask.request());
     } else if (question instanceof PeerMessage.AskDeclaration) {
@@ -154,7 +175,7 @@
   @Override
   public void answered(PeerLink link, PeerMessage message) {
     if (message instanceof PeerMessage.GiveTokens give) {
-      limits.given(link.peer(), give.answer());
+      limits.given(give.answer());
     } else if (message instanceof PeerMessage.GiveDeclaration give) {
       try {
         declarations.accept(platform.declaration(give.value()), give.value());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -1,6 +1,5 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -10,27 +9,21 @@
 import java.util.Map;
 
 /**
- * This instance's connections to all targets. Each instance takes an equal part of what a target
- * allows to the fleet.
+ * This instance's connections to all targets, within its part of what a target allows to the fleet.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
 final class Pools {
-  // A target keeps connections whose far end went dark for seconds; the rest is for whoever
-  // comes back meanwhile.
-  private static final double USED_PART = 0.75;
 
   private final EventLoop loop;
   private final TargetCodec codec;
-  private final Declarations declarations;
-  private final Fleet fleet;
+  private final Homes homes;
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
 
-  Pools(EventLoop loop, TargetCodec codec, Declarations declarations, Fleet fleet) {
+  Pools(EventLoop loop, TargetCodec codec, Homes homes) {
     this.loop = loop;
     this.codec = codec;
-    this.declarations = declarations;
-    this.fleet = fleet;
+    this.homes = homes;
   }
 
   TargetPool of(TargetState target) {
@@ -44,11 +37,7 @@
   }
 
   private int budget(TargetState target) {
-    DeclaredGroup group = declarations.current().groups().get(target.entry().group());
-    if (group == null) {
-      return 1;
-    }
-    return Math.max(1, (int) (group.maxConnections() * USED_PART / fleet.size()));
+    return homes.connections(target.entry().group());
   }
 
   /** The target is gone or began anew. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
@@ -33,9 +33,12 @@
   private final Directory directory;
   private final Pools pools;
   private final Declarations declarations;
+  private final Homes homes;
   private final Map<TargetState, Reach> reaches = new HashMap<>();
 
-  PrimaryWatch(EventLoop loop, Directory directory, Pools pools, Declarations declarations) {
+  PrimaryWatch(
+      EventLoop loop, Directory directory, Pools pools, Declarations declarations, Homes homes) {
+    this.homes = homes;
     this.loop = loop;
     this.directory = directory;
     this.pools = pools;
@@ -59,7 +62,8 @@
     for (GroupState group : directory.groups()) {
       TargetState primary = group.primary();
       note(group, primary, nowNanos);
-      boolean declared = declarations.current().groups().containsKey(group.name());
+      boolean declared =
+          declarations.current().groups().containsKey(group.name()) && homes.serves(group.name());
       if (primary == null || !declared) {
         continue;
       }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
@@ -38,7 +38,7 @@
   private final Pools pools;
   private final PrimaryWatch watch;
   private final Peers peers;
-  private final Fleet fleet;
+  private final Homes homes;
   private final String self;
   private final PrimaryJudge judge = new PrimaryJudge(DEAD_AFTER_MS, AGREE_AFTER_MS);
   private final Map<String, Long> neededSinceNanos = new HashMap<>();
@@ -53,7 +53,7 @@
       Pools pools,
       PrimaryWatch watch,
       Peers peers,
-      Fleet fleet,
+      Homes homes,
       String self) {
     this.loop = loop;
     this.store = store;
@@ -63,7 +63,7 @@
     this.pools = pools;
     this.watch = watch;
     this.peers = peers;
-    this.fleet = fleet;
+    this.homes = homes;
     this.self = self;
     loop.clock().onLostTime(this::abandonAll);
   }
@@ -76,7 +76,8 @@
 
   void tick(long nowNanos, boolean storeSettled) {
     for (GroupState group : directory.groups()) {
-      if (!declarations.current().groups().containsKey(group.name())) {
+      boolean declared = declarations.current().groups().containsKey(group.name());
+      if (!declared || !homes.serves(group.name())) {
         continue;
       }
       PromotionRun run = runs.get(group.name());
@@ -97,14 +98,18 @@
 
   private Verdict judge(GroupState group) {
     List<PrimaryReport> reports = new ArrayList<>();
+    List<String> observers = homes.observers(group.name());
     for (PeerLink link : peers.up()) {
+      if (!observers.contains(link.peer())) {
+        continue;
+      }
       for (PeerMessage.GroupNews news : link.lastPong().groups()) {
         if (news.group().equals(group.name())) {
           reports.add(new PrimaryReport(news.primary(), news.unreachableMs()));
         }
       }
     }
-    return judge.judge(group, watch.unreachableMs(group.primary()), reports, fleet.size());
+    return judge.judge(group, watch.unreachableMs(group.primary()), reports, observers.size());
   }
 
   private void needed(GroupState group, Verdict verdict, long nowNanos) {
@@ -129,9 +134,13 @@
   }
 
   private int rank(String group) {
-    List<String> live = new ArrayList<>();
-    live.add(self);
-    peers.up().forEach(link -> live.add(link.peer()));
+    List<String> live = new ArrayList<>(List.of(self));
+    List<String> observers = homes.observers(group);
+    for (PeerLink link : peers.up()) {
+      if (observers.contains(link.peer())) {
+        live.add(link.peer());
+      }
+    }
     return Rendezvous.rank(group, live).indexOf(self);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
@@ -1,30 +1,27 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.DeclaredOrganisation;
 import io.hickorydrift.core.limit.AllowanceAction;
-import io.hickorydrift.core.limit.AllowanceLedger;
-import io.hickorydrift.core.limit.LimitSettings;
+import io.hickorydrift.core.limit.RateHolders;
 import io.hickorydrift.core.limit.RateLimit;
-import io.hickorydrift.core.limit.SharePart;
-import io.hickorydrift.core.limit.SlotShare;
+import io.hickorydrift.core.limit.SharedLimits;
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
- * Operations of each organisation against this instance's share of its rate, and tokens given and
- * taken between instances. The share is this instance's part of the fleet for as long as it can
- * show that it belongs to it.
+ * Operations of each organisation against its rate. This instance's parts of rates are good only
+ * while its entry stands and it can show that what it knows is current; others count on that when
+ * they take them over.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
 final class RateLimits {
-  private static final long MS = 1_000_000L;
-  private static final LimitSettings SETTINGS =
-      new LimitSettings(0.25, 1_500 * MS, 50 * MS, 300 * MS, 35 * MS, 10 * MS, 6);
+  private static final long TICK_MS = 10;
 
   /** Learns whether an operation may run. */
   interface Listener {
@@ -38,17 +35,26 @@
   private final Declarations declarations;
   private final Fleet fleet;
   private final Peers peers;
-  private final AllowanceLedger ledger = new AllowanceLedger(SETTINGS);
+  private final String self;
+  private final SharedLimits limits = new SharedLimits();
   private final Map<Long, Listener> waiting = new HashMap<>();
+  private final Map<String, List<String>> holders = new HashMap<>();
   private long nextTicket = 1;
+  private long version = Long.MIN_VALUE;
+  private long fleetChanges = -1;
   private boolean hasShare;
-  private long limitsVersion = Long.MIN_VALUE;
 
-  RateLimits(EventLoop loop, Declarations declarations, Fleet fleet, Peers peers) {
+  RateLimits(EventLoop loop, Declarations declarations, Fleet fleet, Peers peers, String self) {
     this.loop = loop;
     this.declarations = declarations;
     this.fleet = fleet;
     this.peers = peers;
+    this.self = self;
+    loop.clock().onLostTime(() -> limits.drain(loop.nowNanos()));
+  }
+
+  void start() {
+    loop.every(TICK_MS, () -> carryOut(limits.tick(loop.nowNanos())));
   }
 
   /** Asks for one operation's token. */
@@ -56,52 +62,65 @@
     refresh();
     long ticket = nextTicket++;
     waiting.put(ticket, listener);
-    carryOut(ledger.request(organisation, ticket, loop.nowNanos()));
+    carryOut(limits.request(organisation, ticket, loop.nowNanos()));
   }
 
   /** A peer asks for tokens. */
   void asked(PeerServer server, GrantRequest request) {
     refresh();
-    for (AllowanceAction action : ledger.asked(server.peer(), request, loop.nowNanos())) {
-      if (action instanceof AllowanceAction.Grant grant) {
-        server.answer(new PeerMessage.GiveTokens(grant.answer()));
-      }
-    }
+    server.answer(new PeerMessage.GiveTokens(limits.asked(request, loop.nowNanos())));
   }
 
   /** A peer gave tokens. */
-  void given(String peer, GrantAnswer answer) {
-    carryOut(ledger.granted(peer, answer, loop.nowNanos()));
+  void given(GrantAnswer answer) {
+    carryOut(limits.granted(answer, loop.nowNanos()));
   }
 
-  /** Returns whether this instance has a part of the limits. */
+  /** Returns whether this instance counts as part of the fleet. */
   boolean hasShare() {
     return hasShare;
   }
 
-  void tick(long nowNanos) {
+  /** Returns the instances that hold rates, which whoever lacks tokens asks. */
+  Map<String, List<String>> holders() {
+    return holders;
+  }
+
+  /** Looks again at who holds what and can be reached. */
+  void tick() {
     refresh();
-    ledger.setPeers(peers.up().stream().map(PeerLink::peer).toList());
-    double fraction = fleet.belongs() ? 1.0 / fleet.size() : 0;
-    long validNanos = TimeUnit.MILLISECONDS.toNanos(declarations.proofLeftMs());
-    ledger.setShare(
-        new SlotShare(SharePart.NONE, new SharePart(fraction, nowNanos + validNanos)), nowNanos);
-    carryOut(ledger.tick(nowNanos));
-    hasShare = fraction > 0;
+    hasShare = fleet.belongs() && declarations.keysProven();
+    for (DeclaredOrganisation organisation : declarations.current().organisations().values()) {
+      List<String> all = holders.getOrDefault(organisation.name(), List.of());
+      List<String> reachable = new ArrayList<>();
+      for (String holder : all) {
+        PeerLink link = peers.link(holder);
+        if (link != null && link.up()) {
+          reachable.add(holder);
+        }
+      }
+      double part = hasShare && all.contains(self) ? 1.0 / all.size() : 0;
+      limits.setHolders(organisation.name(), reachable, part, loop.nowNanos());
+    }
   }
 
   private void refresh() {
-    if (limitsVersion == declarations.current().version()) {
+    boolean same = version == declarations.current().version() && fleetChanges == fleet.changes();
+    if (same) {
       return;
     }
-    limitsVersion = declarations.current().version();
-    Map<String, RateLimit> limits = new HashMap<>();
-    declarations
-        .current()
-        .organisations()
-        .values()
-        .forEach(organisation -> limits.put(organisation.name(), organisation.limit()));
-    ledger.setLimits(limits, loop.nowNanos());
+    version = declarations.current().version();
+    fleetChanges = fleet.changes();
+    Map<String, RateLimit> all = new HashMap<>();
+    holders.clear();
+    for (DeclaredOrganisation organisation : declarations.current().organisations().values()) {
+      all.put(organisation.name(), organisation.limit());
+      holders.put(
+          organisation.name(),
+          RateHolders.of(organisation.name(), organisation.limit(), fleet.ids()));
+    }
+    limits.setLimits(all, loop.nowNanos());
+    tick();
   }
 
   private void carryOut(List<AllowanceAction> actions) {
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -0,0 +1,101 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.Statement;
+import io.hickorydrift.core.statement.StatementKind;
+import io.hickorydrift.proxy.net.EventLoop;
+import java.util.function.Consumer;
+
+/**
+ * A transaction that runs at its group's home. It stays with the home of its first statement.
+ *
+ * <p>Invariant: a lost link promises that nothing is kept only if no commit was sent over it; the
+ * home rolls back what was open on a link that ends. Thread safety: confined to the loop's thread.
+ */
+final class RemoteTransaction implements OpenTransaction {
+  private final EventLoop loop;
+  private final Homes homes;
+  private final Route route;
+  private final String organisation;
+  private final SessionData session;
+  private final boolean readOnly;
+  private PeerLink link;
+  private long number;
+  private boolean wrote;
+  private boolean ended;
+  private boolean running;
+  private long usedNanos;
+
+  RemoteTransaction(
+      EventLoop loop,
+      Homes homes,
+      Route route,
+      String organisation,
+      SessionData session,
+      boolean readOnly) {
+    this.loop = loop;
+    this.homes = homes;
+    this.route = route;
+    this.organisation = organisation;
+    this.session = session;
+    this.readOnly = readOnly;
+    usedNanos = loop.nowNanos();
+  }
+
+  @Override
+  public void run(Statement next, long receivedNanos, Consumer<Outcome> onResult) {
+    boolean commit = next.kind() == StatementKind.COMMIT;
+    SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
+    if (link == null) {
+      link = homes.remote(route.group());
+      number = link == null ? 0 : link.nextTransaction();
+    }
+    if (link == null || !link.up()) {
+      onResult.accept(
+          Outcome.failed(FailureCode.ABORTED, "home is lost; come back in 500 ms", after));
+      return;
+    }
+    wrote |= !commit && session.writes(next);
+    running = true;
+    link.forward(
+        session.forward(next, number, readOnly, organisation, route),
+        route.statementTimeoutMs(),
+        outcome -> {
+          running = false;
+          usedNanos = loop.nowNanos();
+          if (!ended) {
+            onResult.accept(outcome == null ? lost(commit, after) : settled(commit, outcome));
+          }
+        });
+  }
+
+  private Outcome lost(boolean commit, SessionState after) {
+    if (!commit) {
+      return Outcome.failed(FailureCode.ABORTED, "home is lost", after);
+    }
+    FailureCode code = wrote ? FailureCode.IN_DOUBT : FailureCode.FAILED;
+    return Outcome.failed(code, "home is lost", after);
+  }
+
+  private Outcome settled(boolean commit, Outcome outcome) {
+    if (commit && outcome.failure() == null && wrote) {
+      session.committed(route.group(), outcome.position());
+    }
+    return outcome;
+  }
+
+  @Override
+  public void rollback() {
+    ended = true;
+    if (link != null) {
+      link.send(new PeerMessage.EndTransaction(number));
+    }
+  }
+
+  @Override
+  public long usedNanos() {
+    return running ? loop.nowNanos() : usedNanos;
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.statement.Prepared;
@@ -21,6 +22,35 @@
   private final Map<String, Prepared> prepared = new HashMap<>();
   private final Map<String, Position> ownCommits = new HashMap<>();
 
+  /** Returns the data that came with a forwarded statement. */
+  static SessionData of(PeerMessage.Forward forward) {
+    SessionData data = new SessionData();
+    data.values.putAll(forward.values());
+    if (forward.shape() != null) {
+      data.prepared.put(forward.statement().name(), forward.shape());
+    }
+    if (forward.ownCommit() != null) {
+      data.ownCommits.put(forward.route().group(), forward.ownCommit());
+    }
+    return data;
+  }
+
+  /** Returns {@code statement} with all that its group's home needs; the link numbers it. */
+  PeerMessage.Forward forward(
+      Statement statement, long transaction, boolean readOnly, String organisation, Route route) {
+    boolean executes = statement.kind() == StatementKind.EXECUTE;
+    return new PeerMessage.Forward(
+        0,
+        transaction,
+        readOnly,
+        organisation,
+        route,
+        statement,
+        executes ? prepared.get(statement.name()) : null,
+        Map.copyOf(values),
+        ownCommit(route.group()));
+  }
+
   Map<String, String> values() {
     return values;
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
@@ -18,14 +18,14 @@
  * <p>Invariant: once a commit was sent, no outcome promises that nothing is kept, unless the target
  * said so. Thread safety: confined to the loop's thread.
  */
-final class Transaction implements TargetSearch.Listener {
+final class Transaction implements TargetSearch.Listener, OpenTransaction {
   private static final long ATTEMPT_NANOS = 350_000_000L;
   private static final long BUSY_PAUSE_MS = 10;
 
   private final GatewayContext context;
   private final Route route;
   private final String organisation;
-  private final SessionData session;
+  private SessionData session;
   private final boolean readOnly;
   private final long begunNanos;
   private TargetSearch search;
@@ -53,13 +53,18 @@
     usedNanos = begunNanos;
   }
 
-  /** Returns when it was last used; it is in use while a statement runs. */
-  long usedNanos() {
+  /** Takes the session as it stands with the next statement. */
+  void useSession(SessionData current) {
+    session = current;
+  }
+
+  @Override
+  public long usedNanos() {
     return onOutcome != null ? context.loop().nowNanos() : usedNanos;
   }
 
-  /** Runs a statement or the commit. */
-  void run(Statement next, long receivedNanos, Consumer<Outcome> onResult) {
+  @Override
+  public void run(Statement next, long receivedNanos, Consumer<Outcome> onResult) {
     statement = next;
     onOutcome = onResult;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
@@ -210,8 +215,8 @@
     }
   }
 
-  /** Rolls back what is open and gives the connection back. */
-  void rollback() {
+  @Override
+  public void rollback() {
     onOutcome = null;
     finish();
   }
