--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
@@ -26,7 +26,7 @@
 final class Fleet {
   private static final String PREFIX = "fleet/";
   private static final long TTL_MS = 6_000;
-  private static final long KEEP_MS = 1_500;
+  private static final long KEEP_MS = 2_000;
   private static final long RETRY_MS = 400;
 
   private final EventLoop loop;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -84,7 +84,8 @@
             peers,
             homes,
             settings.id());
-    sync = new StoreSync(loop, store, platform, declarations, directory, fleet);
+    sync =
+        new StoreSync(loop, store, platform, declarations, directory, fleet, peers::bringsProofs);
     context =
         new GatewayContext(
             loop,
@@ -110,7 +111,7 @@
     new TcpListener(
         loop, settings.metricsListen(), channel -> new HttpResponder(channel, this::answerMetrics));
     new TcpListener(loop, settings.peersListen(), peers::serve);
-    peers.start(limits, new HomeService(context));
+    peers.start(limits, new HomeService(context), sync);
     limits.start();
     sync.start();
     fleet.join();
@@ -167,6 +168,7 @@
     long nowNanos = loop.nowNanos();
     pools.tick(nowNanos);
     limits.tick();
+    sync.tick();
     watch.tick(nowNanos);
     if (!stopping) {
       promotions.tick(nowNanos, sync.settled());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
@@ -51,7 +51,8 @@
       packer.packInt(PING).packString(ping.instance()).packLong(ping.sequence());
     } else if (message instanceof PeerMessage.Pong pong) {
       packer.packInt(PONG).packLong(pong.sequence()).packLong(pong.version());
-      packer.packLong(pong.proofAgeMs()).packArrayHeader(pong.groups().size());
+      packer.packLong(pong.proofAgeMs()).packLong(pong.storeRevision());
+      packer.packArrayHeader(pong.groups().size());
       for (PeerMessage.GroupNews group : pong.groups()) {
         packNews(packer, group);
       }
@@ -153,6 +154,7 @@
     final long sequence = unpacker.unpackLong();
     final long version = unpacker.unpackLong();
     final long proofAgeMs = unpacker.unpackLong();
+    final long storeRevision = unpacker.unpackLong();
     int count = count(unpacker.unpackArrayHeader(), MAX_ITEMS);
     List<PeerMessage.GroupNews> groups = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -169,7 +171,7 @@
               unpacker.unpackString(),
               unpacker.unpackLong()));
     }
-    return new PeerMessage.Pong(sequence, version, proofAgeMs, groups);
+    return new PeerMessage.Pong(sequence, version, proofAgeMs, storeRevision, groups);
   }
 
   private static PeerMessage unpackAskTokens(MessageUnpacker unpacker) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
 import io.hickorydrift.proxy.port.PlatformAdapter;
@@ -26,6 +27,7 @@
  */
 final class Peers implements PeerLink.Listener {
   private static final long PING_MS = 400;
+  private static final int PROOF_BRINGERS = 3;
 
   private final EventLoop loop;
   private final String self;
@@ -38,6 +40,7 @@
   private final Homes homes;
   private RateLimits limits;
   private HomeService service;
+  private StoreSync sync;
 
   Peers(
       EventLoop loop,
@@ -58,7 +61,8 @@
     this.homes = homes;
   }
 
-  void start(RateLimits rateLimits, HomeService homeService) {
+  void start(RateLimits rateLimits, HomeService homeService, StoreSync storeSync) {
+    sync = storeSync;
     limits = rateLimits;
     service = homeService;
     loop.every(PING_MS, this::ping);
@@ -92,6 +96,20 @@
     links.values().forEach(PeerLink::ping);
   }
 
+  /**
+   * Returns whether this instance asks the store often, so that the others have proofs from it. A
+   * few do, by rank among those that reach each other.
+   */
+  boolean bringsProofs() {
+    List<String> live = new ArrayList<>(List.of(self));
+    for (PeerLink link : links.values()) {
+      if (link.up() && link.lastPong().proofAgeMs() >= 0) {
+        live.add(link.peer());
+      }
+    }
+    return Rendezvous.rank("proofs", live).indexOf(self) < PROOF_BRINGERS;
+  }
+
   /** Returns the link to {@code peer}, or null. */
   PeerLink link(String peer) {
     return links.get(peer);
@@ -151,7 +169,11 @@
               watch.unreachableMs(primary)));
     }
     return new PeerMessage.Pong(
-        sequence, declarations.current().version(), declarations.proofAgeMs(), news);
+        sequence,
+        declarations.current().version(),
+        declarations.proofAgeMs(),
+        sync.revision(),
+        news);
   }
 
   @Override
@@ -164,6 +186,7 @@
             .add(news.position(), pingNanos - TimeUnit.MILLISECONDS.toNanos(news.ageMs()));
       }
     }
+    sync.heardOf(pong.storeRevision());
     long version = declarations.current().version();
     if (pong.version() > version) {
       link.send(new PeerMessage.AskDeclaration());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 
 /**
@@ -27,6 +28,10 @@
 final class StoreSync {
   // A watch's answer proves that keys are current, so it has to come often.
   private static final long WATCH_MS = 1_000;
+  // Instances whose peers bring such proofs wait longer; changes reach them as soon as the others.
+  private static final long LEAN_WATCH_MS = 8_000;
+  private static final long LEAN_PROOF_MS = 1_900;
+  private static final long BEHIND_NANOS = 700_000_000L;
   // While the store is away, short waits show its return soon.
   private static final long PROBE_MS = 1;
   private static final long RETRY_MS = 250;
@@ -42,6 +47,11 @@
   private final Fleet fleet;
   private final Map<String, EventLoop.Timer> removals = new HashMap<>();
   private long revision;
+  private final BooleanSupplier leading;
+  private long watchNumber;
+  private long watchSinceNanos;
+  private long waitMs;
+  private long behindSinceNanos;
   private boolean reachable;
   private long troubleNanos;
   private boolean loaded;
@@ -53,7 +63,9 @@
       PlatformAdapter platform,
       Declarations declarations,
       Directory directory,
-      Fleet fleet) {
+      Fleet fleet,
+      BooleanSupplier leading) {
+    this.leading = leading;
     this.loop = loop;
     this.store = store;
     this.platform = platform;
@@ -78,8 +90,9 @@
     return loaded && reachable && loop.nowNanos() - troubleNanos >= RETURN_NANOS;
   }
 
-  /** Starts to follow. */
+  /** Starts to follow; {@code leading} tells whether this instance brings proofs to others. */
   void start() {
+    watchNumber++;
     load("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
   }
 
@@ -130,8 +143,50 @@
 
   private void watch() {
     long askedNanos = loop.nowNanos();
-    long waitMs = reachable ? WATCH_MS : PROBE_MS;
-    store.watch(EVERYTHING, revision, waitMs, answer -> watched(answer, askedNanos));
+    long number = ++watchNumber;
+    watchSinceNanos = askedNanos;
+    waitMs = waitMs();
+    store.watch(
+        EVERYTHING,
+        revision,
+        waitMs,
+        answer -> {
+          if (number == watchNumber) {
+            watched(answer, askedNanos);
+          }
+        });
+  }
+
+  private long waitMs() {
+    if (!reachable) {
+      return PROBE_MS;
+    }
+    boolean proofsCome = declarations.proofAgeMs() < LEAN_PROOF_MS;
+    return leading.getAsBoolean() || !proofsCome ? WATCH_MS : LEAN_WATCH_MS;
+  }
+
+  /** A peer has seen {@code peerRevision}; a watch that is behind for long is dead. */
+  void heardOf(long peerRevision) {
+    if (peerRevision <= revision || !loaded || !reachable) {
+      behindSinceNanos = loop.nowNanos();
+    } else if (loop.nowNanos() - behindSinceNanos > BEHIND_NANOS) {
+      Logger.warn("event=watch_behind revision={} peer_revision={}", revision, peerRevision);
+      behindSinceNanos = loop.nowNanos();
+      watch();
+    }
+  }
+
+  /** Looks whether a long watch has to be replaced, since peers no longer bring proofs. */
+  void tick() {
+    boolean lean = loaded && reachable && waitMs == LEAN_WATCH_MS;
+    boolean young = loop.nowNanos() - watchSinceNanos < BEHIND_NANOS;
+    if (lean && !young && declarations.proofAgeMs() > LEAN_PROOF_MS) {
+      watch();
+    }
+  }
+
+  long revision() {
+    return revision;
   }
 
   private void watched(Items answer, long askedNanos) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerCodecTest.java
@@ -23,6 +23,7 @@
             7,
             12,
             -1,
+            530,
             List.of(
                 new PeerMessage.GroupNews("g", new Position(3, 1207), 40, "t1", 0),
                 new PeerMessage.GroupNews("h", null, 0, "", 900))),
