--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -71,7 +71,7 @@
     watch = new PrimaryWatch(loop, directory, pools, declarations, homes);
     peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, watch, homes);
     homes.start(peers);
-    limits = new RateLimits(loop, declarations, fleet, peers, settings.id());
+    limits = new RateLimits(loop, declarations, fleet, peers, homes, settings.id());
     promotions =
         new PromotionDuty(
             loop,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -85,7 +85,7 @@
 
   /** Returns whether this instance may serve {@code group}. */
   boolean serves(String group) {
-    return direct(group) || plan().ranked(group).contains(self);
+    return serves(group, self);
   }
 
   /** A statement of {@code group} runs here. */
@@ -110,6 +110,23 @@
     return plan().ranked(group);
   }
 
+  /** Returns the instances among which holders of rates are chosen: those that count operations. */
+  Set<String> counting() {
+    if (allDirect()) {
+      return fleet.ids();
+    }
+    Set<String> ids = new LinkedHashSet<>();
+    for (String group : declarations.current().groups().keySet()) {
+      ids.add(plan().ranked(group).get(0));
+    }
+    return ids;
+  }
+
+  /** Returns whether {@code peer} may serve {@code group}. */
+  boolean serves(String group, String peer) {
+    return direct(group) || plan().ranked(group).contains(peer);
+  }
+
   /** Returns the instances that this one keeps links to. */
   Set<String> neighbours() {
     if (allDirect()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -11,10 +11,8 @@
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -75,11 +73,7 @@
 
   private void ping() {
     Map<String, String> members = new HashMap<>(fleet.others());
-    Set<String> wanted = new HashSet<>(homes.neighbours());
-    if (!homes.allDirect()) {
-      limits.holders().values().forEach(wanted::addAll);
-    }
-    members.keySet().retainAll(wanted);
+    members.keySet().retainAll(homes.neighbours());
     links
         .values()
         .removeIf(
@@ -136,7 +130,7 @@
 
   private void asked(PeerServer server, PeerMessage question) {
     if (question instanceof PeerMessage.Ping ping) {
-      server.answer(pong(ping.sequence()));
+      server.answer(pong(ping));
     } else if (question instanceof PeerMessage.Forward forward) {
       service.run(server, forward);
     } else if (question instanceof PeerMessage.EndTransaction end) {
@@ -151,9 +145,12 @@
     }
   }
 
-  private PeerMessage.Pong pong(long sequence) {
+  private PeerMessage.Pong pong(PeerMessage.Ping ping) {
     List<PeerMessage.GroupNews> news = new ArrayList<>();
     for (GroupState group : directory.groups()) {
+      if (!homes.serves(group.name(), ping.instance())) {
+        continue;
+      }
       Position position = group.sightings().latest();
       long ageMs =
           position == null
@@ -169,7 +166,7 @@
               watch.unreachableMs(primary)));
     }
     return new PeerMessage.Pong(
-        sequence,
+        ping.sequence(),
         declarations.current().version(),
         declarations.proofAgeMs(),
         sync.revision(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RateLimits.java
@@ -35,6 +35,7 @@
   private final Declarations declarations;
   private final Fleet fleet;
   private final Peers peers;
+  private final Homes homes;
   private final String self;
   private final SharedLimits limits = new SharedLimits();
   private final Map<Long, Listener> waiting = new HashMap<>();
@@ -44,7 +45,14 @@
   private long fleetChanges = -1;
   private boolean hasShare;
 
-  RateLimits(EventLoop loop, Declarations declarations, Fleet fleet, Peers peers, String self) {
+  RateLimits(
+      EventLoop loop,
+      Declarations declarations,
+      Fleet fleet,
+      Peers peers,
+      Homes homes,
+      String self) {
+    this.homes = homes;
     this.loop = loop;
     this.declarations = declarations;
     this.fleet = fleet;
@@ -81,11 +89,6 @@
     return hasShare;
   }
 
-  /** Returns the instances that hold rates, which whoever lacks tokens asks. */
-  Map<String, List<String>> holders() {
-    return holders;
-  }
-
   /** Looks again at who holds what and can be reached. */
   void tick() {
     refresh();
@@ -117,7 +120,7 @@
       all.put(organisation.name(), organisation.limit());
       holders.put(
           organisation.name(),
-          RateHolders.of(organisation.name(), organisation.limit(), fleet.ids()));
+          RateHolders.of(organisation.name(), organisation.limit(), homes.counting()));
     }
     limits.setLimits(all, loop.nowNanos());
     tick();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -27,10 +27,10 @@
  */
 final class StoreSync {
   // A watch's answer proves that keys are current, so it has to come often.
-  private static final long WATCH_MS = 1_000;
+  private static final long WATCH_MS = 900;
   // Instances whose peers bring such proofs wait longer; changes reach them as soon as the others.
   private static final long LEAN_WATCH_MS = 8_000;
-  private static final long LEAN_PROOF_MS = 1_900;
+  private static final long LEAN_PROOF_MS = 2_900;
   private static final long BEHIND_NANOS = 700_000_000L;
   // While the store is away, short waits show its return soon.
   private static final long PROBE_MS = 1;
