--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -105,6 +105,7 @@
             metrics,
             homes);
     gauges();
+    loop.clock().onLostTime(() -> directory.groups().forEach(group -> group.sightings().clear()));
   }
 
   /** Opens the instance; it serves while the loop runs. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
 
 /**
  * Monotonic time that notices when the process did not run. The monotonic clock stands still while
@@ -16,8 +18,22 @@
   private static final long TOLERANCE_MS = 40;
 
   private final List<Runnable> lossListeners = new ArrayList<>();
-  private long nowNanos = System.nanoTime();
-  private long offsetMs = System.currentTimeMillis() - nowNanos / NANOS_PER_MS;
+  private final LongSupplier monotonicNanos;
+  private final LongSupplier timeOfDayMs;
+  private long nowNanos;
+  private long offsetMs;
+
+  /** Reads the machine's clocks. */
+  public SteadyClock() {
+    this(System::nanoTime, System::currentTimeMillis);
+  }
+
+  SteadyClock(LongSupplier monotonicNanos, LongSupplier timeOfDayMs) {
+    this.monotonicNanos = monotonicNanos;
+    this.timeOfDayMs = timeOfDayMs;
+    nowNanos = monotonicNanos.getAsLong();
+    offsetMs = timeOfDayMs.getAsLong() - nowNanos / NANOS_PER_MS;
+  }
 
   /** Returns the time of the last {@link #refresh}. */
   public long nowNanos() {
@@ -31,9 +47,10 @@
 
   /** Reads the clocks and returns the monotonic time. */
   public long refresh() {
-    nowNanos = System.nanoTime();
-    long offset = System.currentTimeMillis() - nowNanos / NANOS_PER_MS;
+    nowNanos = monotonicNanos.getAsLong();
+    long offset = timeOfDayMs.getAsLong() - nowNanos / NANOS_PER_MS;
     if (Math.abs(offset - offsetMs) > TOLERANCE_MS) {
+      Logger.warn("event=time_lost difference_ms={}", offset - offsetMs);
       offsetMs = offset;
       lossListeners.forEach(Runnable::run);
     }
