Run statements at a peer that reaches the primary, while this instance does not

Cause: a primary cut off from part of the instances left their writers without service until it healed or was replaced, though other instances reached it. Ruled out: promoting at once, which gives up commits of those who still reach it.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Consistency;
 import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.statement.CallerMessage;
@@ -185,7 +186,7 @@
     Route route = admission.route();
     String organisation = admission.organisation();
     transaction =
-        context.homes().remote(route.group()) == null
+        context.homes().remote(route.group(), needsPrimary(route, !readOnly)) == null
             ? new Transaction(context, route, organisation, data, readOnly, receivedNanos)
             : new RemoteTransaction(
                 context.loop(), context.homes(), route, organisation, data, readOnly);
@@ -224,7 +225,9 @@
 
   private void executeAdmitted(Statement statement, Admission admission) {
     running = true;
-    PeerLink home = context.homes().remote(admission.route().group());
+    Route route = admission.route();
+    PeerLink home =
+        context.homes().remote(route.group(), needsPrimary(route, data.writes(statement)));
     if (home != null) {
       runAtHome(home, statement, admission, 1);
       return;
@@ -253,10 +256,20 @@
     }
   }
 
+  private static boolean needsPrimary(Route route, boolean writes) {
+    return writes || route.consistency() == Consistency.PRIMARY;
+  }
+
   private void runAtHome(PeerLink home, Statement statement, Admission admission, int tries) {
     Route route = admission.route();
     home.forward(
-        data.forward(statement, 0, false, admission.organisation(), route),
+        data.forward(
+            statement,
+            0,
+            false,
+            admission.organisation(),
+            route,
+            context.homes().direct(route.group())),
         route.statementTimeoutMs(),
         outcome -> {
           if (outcome != null) {
@@ -272,7 +285,9 @@
 
   /** A read runs once more at the next home; whether a write took effect is not known. */
   private void homeLost(Statement statement, Admission admission, int tries) {
-    PeerLink next = context.homes().remote(admission.route().group());
+    Route route = admission.route();
+    PeerLink next =
+        context.homes().remote(route.group(), needsPrimary(route, data.writes(statement)));
     if (data.writes(statement)) {
       finished(statement, Outcome.failed(FailureCode.IN_DOUBT, "home is lost", SessionState.IDLE));
     } else if (next != null && tries < MAX_HOME_TRIES && !channel.isClosed()) {
@@ -301,7 +316,7 @@
       refuse(statement, admission);
       return;
     }
-    if (context.homes().remote(admission.route().group()) != null) {
+    if (!context.homes().counts(admission.route().group())) {
       // The home counts the operation.
       onAdmitted.accept(admission);
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -46,6 +46,7 @@
       packer.packString(value.getKey()).packString(value.getValue());
     }
     pack(packer, forward.ownCommit());
+    packer.packBoolean(forward.counted());
   }
 
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
@@ -89,7 +90,8 @@
         statement,
         shape,
         values,
-        unpackPosition(unpacker));
+        unpackPosition(unpacker),
+        unpacker.unpackBoolean());
   }
 
   static void pack(MessagePacker packer, PeerMessage.Result result) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeService.java
@@ -32,6 +32,10 @@
       runIn(open, server, forward, receivedNanos, session, answer);
       return;
     }
+    if (forward.counted()) {
+      admit(server, forward, receivedNanos, session, answer);
+      return;
+    }
     context
         .limits()
         .request(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -68,10 +68,15 @@
     return true;
   }
 
-  /** Returns the link to the instance that serves {@code group}, or null for this instance. */
-  PeerLink remote(String group) {
+  /**
+   * Returns the link to the instance that serves {@code group}, or null for this instance.
+   *
+   * @param needsPrimary whether only the primary can run the statement; if this instance cannot
+   *     reach it, a peer that can does
+   */
+  PeerLink remote(String group, boolean needsPrimary) {
     if (direct(group)) {
-      return null;
+      return needsPrimary ? peers.detour(group) : null;
     }
     for (String id : plan().ranked(group)) {
       if (id.equals(self)) {
@@ -90,6 +95,11 @@
     return !direct(group) && plan().ranked(group).get(0).equals(self);
   }
 
+  /** Returns whether this instance counts the operations of {@code group} that it takes. */
+  boolean counts(String group) {
+    return direct(group) || remote(group, false) == null;
+  }
+
   /** Returns whether this instance may serve {@code group}. */
   boolean serves(String group) {
     return serves(group, self);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
@@ -107,7 +107,8 @@
                 forward.statement(),
                 forward.shape(),
                 forward.values(),
-                forward.ownCommit()));
+                forward.ownCommit(),
+                forward.counted()));
     if (!sent) {
       onOutcome.accept(null);
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -64,6 +64,7 @@
    * @param shape the prepared statement that it executes, or null
    * @param values the session's values
    * @param ownCommit position of the session's last commit, or null
+   * @param counted whether the sender has counted the operation against its rate
    */
   record Forward(
       long correlation,
@@ -74,7 +75,8 @@
       Statement statement,
       Prepared shape,
       Map<String, String> values,
-      Position ownCommit)
+      Position ownCommit,
+      boolean counted)
       implements PeerMessage {}
 
   /** The result of a forwarded statement. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -6,6 +6,8 @@
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.Rendezvous;
+import io.hickorydrift.core.promotion.Detours;
+import io.hickorydrift.core.promotion.PrimaryReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
 import io.hickorydrift.proxy.port.PlatformAdapter;
@@ -118,6 +120,29 @@
     return Rendezvous.rank("proofs", live).indexOf(self) < PROOF_BRINGERS;
   }
 
+  /** Returns what the peers that answered lately say of the primary of {@code group}. */
+  Map<String, PrimaryReport> primaryReports(String group) {
+    Map<String, PrimaryReport> reports = new HashMap<>();
+    for (PeerLink link : up()) {
+      for (PeerMessage.GroupNews news : link.lastPong().groups()) {
+        if (news.group().equals(group)) {
+          reports.put(link.peer(), new PrimaryReport(news.primary(), news.unreachableMs()));
+        }
+      }
+    }
+    return reports;
+  }
+
+  /** Returns a link to a peer that reaches the primary of {@code group}, if this one does not. */
+  PeerLink detour(String group) {
+    TargetState primary = directory.group(group).primary();
+    if (primary == null || watch.unreachableMs(primary) == 0) {
+      return null;
+    }
+    String peer = Detours.choose(self, primary.entry().id(), primaryReports(group));
+    return peer == null ? null : links.get(peer);
+  }
+
   /** Closes all links, also those that peers opened. */
   void close() {
     closed = true;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
@@ -18,7 +18,7 @@
 final class PrimaryWatch {
   // Reads that accept 1.5 s find sightings several times as fresh.
   private static final long LOOK_AFTER_NANOS = 350_000_000L;
-  private static final long LOOK_TIMEOUT_NANOS = 500_000_000L;
+  private static final long LOOK_TIMEOUT_NANOS = 350_000_000L;
   // One look that failed may be the connection's fault.
   private static final long SUSPECT_MS = 700;
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
@@ -97,18 +97,10 @@
   }
 
   private Verdict judge(GroupState group) {
-    List<PrimaryReport> reports = new ArrayList<>();
     List<String> observers = homes.observers(group.name());
-    for (PeerLink link : peers.up()) {
-      if (!observers.contains(link.peer())) {
-        continue;
-      }
-      for (PeerMessage.GroupNews news : link.lastPong().groups()) {
-        if (news.group().equals(group.name())) {
-          reports.add(new PrimaryReport(news.primary(), news.unreachableMs()));
-        }
-      }
-    }
+    Map<String, PrimaryReport> byPeer = peers.primaryReports(group.name());
+    byPeer.keySet().retainAll(observers);
+    List<PrimaryReport> reports = List.copyOf(byPeer.values());
     return judge.judge(group, watch.unreachableMs(group.primary()), reports, observers.size());
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -49,7 +49,7 @@
     boolean commit = next.kind() == StatementKind.COMMIT;
     SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
     if (link == null) {
-      link = homes.remote(route.group());
+      link = homes.remote(route.group(), !readOnly);
       number = link == null ? 0 : link.nextTransaction();
     }
     if (link == null || !link.up()) {
@@ -60,7 +60,7 @@
     wrote |= !commit && session.writes(next);
     running = true;
     link.forward(
-        session.forward(next, number, readOnly, organisation, route),
+        session.forward(next, number, readOnly, organisation, route, homes.direct(route.group())),
         route.statementTimeoutMs(),
         outcome -> {
           running = false;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -37,7 +37,12 @@
 
   /** Returns {@code statement} with all that its group's home needs; the link numbers it. */
   PeerMessage.Forward forward(
-      Statement statement, long transaction, boolean readOnly, String organisation, Route route) {
+      Statement statement,
+      long transaction,
+      boolean readOnly,
+      String organisation,
+      Route route,
+      boolean counted) {
     boolean executes = statement.kind() == StatementKind.EXECUTE;
     return new PeerMessage.Forward(
         0,
@@ -48,7 +53,8 @@
         statement,
         executes ? prepared.get(statement.name()) : null,
         Map.copyOf(values),
-        ownCommit(route.group()));
+        ownCommit(route.group()),
+        counted);
   }
 
   Map<String, String> values() {
