--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -36,7 +36,7 @@
   }
 
   /** Runs the command line and returns its exit code. */
-  static int run(List<String> arguments, PrintStream out, PrintStream err) {
+  public static int run(List<String> arguments, PrintStream out, PrintStream err) {
     if (arguments.isEmpty() || arguments.get(0).equals("--help")) {
       help(arguments.isEmpty() ? err : out);
       return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.OK;
