--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -18,6 +18,7 @@
   private byte[] stored;
   private long provenNanos;
   private boolean proven;
+  private boolean unreadable;
 
   /** Keys are good for {@code keyValidityMs} after the declaration was shown to be the newest. */
   Declarations(EventLoop loop, long keyValidityMs) {
@@ -49,6 +50,7 @@
     logChangedLimits(declaration);
     current = declaration;
     stored = value;
+    unreadable = false;
   }
 
   private void logChangedLimits(Declaration next) {
@@ -68,6 +70,11 @@
     }
   }
 
+  /** A version came that cannot be read; what is in force may hold withdrawn keys. */
+  void unreadable() {
+    unreadable = true;
+  }
+
   /** The store, asked at {@code askedNanos}, had nothing newer than what is in force. */
   void provenAt(long askedNanos) {
     if (!proven || askedNanos - provenNanos > 0) {
@@ -78,7 +85,7 @@
 
   /** Returns whether a key that is in force here cannot have been withdrawn long ago. */
   boolean keysProven() {
-    return proven && loop.nowNanos() - provenNanos < keyValidityNanos;
+    return proven && !unreadable && loop.nowNanos() - provenNanos < keyValidityNanos;
   }
 
   /** Returns for how long keys are still good without another proof, in milliseconds. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryWatch.java
@@ -19,6 +19,7 @@
   // Reads that accept 1.5 s find sightings several times as fresh.
   private static final long LOOK_AFTER_NANOS = 350_000_000L;
   private static final long LOOK_TIMEOUT_NANOS = 350_000_000L;
+  private static final int MOST_URGENT = 0;
   // One look that failed may be the connection's fault.
   private static final long SUSPECT_MS = 700;
 
@@ -106,7 +107,7 @@
     if (idle != null) {
       waiter.granted(idle);
     } else {
-      pool.acquire(organisation, startNanos + LOOK_TIMEOUT_NANOS, waiter);
+      pool.acquire(organisation, MOST_URGENT, startNanos + LOOK_TIMEOUT_NANOS, waiter);
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
@@ -33,6 +33,7 @@
  */
 final class PromotionRun {
   private static final String PREFIX = "duty/promotion/";
+  private static final int MOST_URGENT = 0;
   private static final long LEASE_MS = 3_000;
   private static final long KEEP_MS = 1_000;
   private static final long SURVEY_MS = 300;
@@ -183,7 +184,7 @@
     if (idle != null) {
       waiter.granted(idle);
     } else {
-      pool.acquire(organisation, untilNanos, waiter);
+      pool.acquire(organisation, MOST_URGENT, untilNanos, waiter);
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -241,6 +241,7 @@
     try {
       declarations.accept(platform.declaration(item.value()), item.value());
     } catch (IllegalArgumentException e) {
+      declarations.unreadable();
       Logger.warn(
           "event=declaration_unreadable revision={} reason=\"{}\"",
           item.revision(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.admission.WaitingLine;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
@@ -13,8 +14,8 @@
 import org.tinylog.Logger;
 
 /**
- * This instance's connections to one target, each of one organisation. Whoever finds none waits in
- * order of arrival; a connection that another organisation has left idle longest makes room.
+ * This instance's connections to one target, each of one organisation. Whoever finds none waits,
+ * the more urgent first; a connection that another organisation has left idle longest makes room.
  *
  * <p>Invariant: never more connections than the budget allows, but for those in use when it shrank.
  * Thread safety: confined to the loop's thread.
@@ -37,7 +38,7 @@
     void refused(String reason);
   }
 
-  private record Waiting(String organisation, long deadlineNanos, Waiter waiter) {}
+  private record Waiting(String organisation, Waiter waiter) {}
 
   private final EventLoop loop;
   private final TargetCodec codec;
@@ -45,7 +46,7 @@
   private final IntSupplier budget;
   private final List<TargetConnection> all = new ArrayList<>();
   private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
-  private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+  private final WaitingLine<Waiting> waiting = new WaitingLine<>();
   private long openNextNanos = Long.MIN_VALUE;
   private boolean closed;
   private boolean evicting;
@@ -97,8 +98,8 @@
     return idle.pollLast();
   }
 
-  /** Asks for a connection of {@code organisation}. */
-  void acquire(String organisation, long deadlineNanos, Waiter waiter) {
+  /** Asks for a connection of {@code organisation}; the more urgent are served first. */
+  void acquire(String organisation, int priority, long deadlineNanos, Waiter waiter) {
     if (closed) {
       waiter.refused("target left");
       return;
@@ -113,7 +114,7 @@
       probe(organisation);
       return;
     }
-    waiting.addLast(new Waiting(organisation, deadlineNanos, waiter));
+    waiting.add(priority, deadlineNanos, new Waiting(organisation, waiter));
     openForWaiters();
   }
 
@@ -131,13 +132,10 @@
   }
 
   private void offer(TargetConnection connection) {
-    for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
-      Waiting next = each.next();
-      if (next.organisation.equals(connection.organisation())) {
-        each.remove();
-        next.waiter.granted(connection);
-        return;
-      }
+    Waiting next = waiting.poll(each -> each.organisation.equals(connection.organisation()));
+    if (next != null) {
+      next.waiter.granted(connection);
+      return;
     }
     idle.addLast(connection);
     openForWaiters();
@@ -158,7 +156,7 @@
     if (openNextNanos != Long.MIN_VALUE && openNextNanos - loop.nowNanos() > 0) {
       return;
     }
-    for (Waiting next : List.copyOf(waiting)) {
+    for (Waiting next : waiting.items()) {
       if (opening() >= MAX_OPENING) {
         return;
       }
@@ -219,7 +217,7 @@
 
   private int waiters(String organisation) {
     int count = 0;
-    for (Waiting each : waiting) {
+    for (Waiting each : waiting.items()) {
       if (each.organisation.equals(organisation)) {
         count++;
       }
@@ -252,13 +250,9 @@
   }
 
   private void refuseOne(String organisation, String reason) {
-    for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
-      Waiting next = each.next();
-      if (next.organisation.equals(organisation)) {
-        each.remove();
-        next.waiter.refused(reason);
-        return;
-      }
+    Waiting next = waiting.poll(each -> each.organisation.equals(organisation));
+    if (next != null) {
+      next.waiter.refused(reason);
     }
   }
 
@@ -275,8 +269,8 @@
     for (TargetConnection connection : List.copyOf(all)) {
       connection.checkDeadline(nowNanos);
     }
-    while (!waiting.isEmpty() && waiting.peekFirst().deadlineNanos - nowNanos < 0) {
-      waiting.removeFirst().waiter.refused("no connection in time");
+    for (Waiting late : waiting.expired(nowNanos)) {
+      late.waiter.refused("no connection in time");
     }
     if (!waiting.isEmpty()) {
       openForWaiters();
@@ -286,8 +280,8 @@
   /** Closes what is not in use; the rest is closed when it is given back. */
   void drain() {
     closed = true;
-    while (!waiting.isEmpty()) {
-      waiting.removeFirst().waiter.refused("target leaves");
+    for (Waiting next = waiting.poll(any -> true); next != null; next = waiting.poll(any -> true)) {
+      next.waiter.refused("target leaves");
     }
     while (!idle.isEmpty()) {
       idle.pollFirst().fail("target leaves");
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -128,6 +128,7 @@
         .pool(target)
         .acquire(
             organisation,
+            route.priority(),
             waitUntilNanos(),
             new TargetPool.Waiter() {
               @Override
