--- a/core/src/main/java/io/hickorydrift/core/limit/SharedLimits.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SharedLimits.java
@@ -214,7 +214,7 @@
     if (account.askedInRound == 0 && account.nextRoundNanos - nowNanos > 0) {
       return;
     }
-    String holder = account.holders.get(account.nextHolder++ % account.holders.size());
+    final String holder = account.holders.get(account.nextHolder++ % account.holders.size());
     account.askedInRound++;
     account.asking = true;
     account.askedNanos = nowNanos;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Admission.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Admission.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.statement.FailureCode;
 
@@ -14,12 +15,32 @@
  * @param reason what to say about a refusal
  */
 record Admission(Route route, String organisation, FailureCode refusal, String reason) {
-  static Admission admitted(Route route, String organisation) {
+  private static final String NOBODY = "-";
+
+  /** Decides by the declaration in force, and by whether it is proven to be current. */
+  static Admission decide(Declarations declarations, String database, String credential) {
+    Declaration declaration = declarations.current();
+    Route route = declaration.routes().get(database);
+    if (route == null) {
+      return refusedFor(FailureCode.UNKNOWN_DATABASE, "no such database");
+    }
+    String organisation = declaration.keyOwners().get(credential);
+    if (organisation == null && !route.open()) {
+      return refusedFor(FailureCode.UNAUTHORIZED, "key is withdrawn");
+    }
+    if (!route.open() && !declarations.keysProven()) {
+      return refusedFor(
+          FailureCode.BUSY, "settings cannot be shown to be current; come back in 1000 ms");
+    }
+    return admitted(route, organisation == null ? NOBODY : organisation);
+  }
+
+  private static Admission admitted(Route route, String organisation) {
     return new Admission(route, organisation, null, "");
   }
 
-  static Admission refusedFor(FailureCode code, String reason) {
-    return new Admission(null, "-", code, reason);
+  private static Admission refusedFor(FailureCode code, String reason) {
+    return new Admission(null, NOBODY, code, reason);
   }
 
   /** Returns a refusal of what was admitted before. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -1,6 +1,5 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.declaration.Consistency;
 import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.statement.CallerMessage;
@@ -24,7 +23,6 @@
 final class CallerSession implements ChannelHandler {
   // Callers send one statement and wait; more than a few at once are not from a caller.
   private static final int MAX_WAITING = 64;
-  private static final int MAX_HOME_TRIES = 2;
 
   private final GatewayContext context;
   private final TcpChannel channel;
@@ -64,11 +62,11 @@
   private void handleNext() {
     while (!running && !waiting.isEmpty() && !channel.isClosed()) {
       receivedNanos = context.loop().nowNanos();
-      handle(waiting.pollFirst());
+      take(waiting.pollFirst());
     }
   }
 
-  private void handle(CallerMessage message) {
+  private void take(CallerMessage message) {
     if (message instanceof CallerMessage.Open open) {
       open(open);
     } else if (message instanceof CallerMessage.End) {
@@ -186,7 +184,8 @@
     Route route = admission.route();
     String organisation = admission.organisation();
     transaction =
-        context.homes().remote(route.group(), needsPrimary(route, !readOnly)) == null
+        context.homes().remote(route.group(), SingleStatement.needsPrimary(route, !readOnly))
+                == null
             ? new Transaction(context, route, organisation, data, readOnly, receivedNanos)
             : new RemoteTransaction(
                 context.loop(), context.homes(), route, organisation, data, readOnly);
@@ -225,80 +224,18 @@
 
   private void executeAdmitted(Statement statement, Admission admission) {
     running = true;
-    Route route = admission.route();
-    PeerLink home =
-        context.homes().remote(route.group(), needsPrimary(route, data.writes(statement)));
-    if (home != null) {
-      runAtHome(home, statement, admission, 1);
-      return;
-    }
-    context.homes().served(admission.route().group());
-    if (data.writes(statement)) {
-      new WriteRun(
-              context,
-              admission.route(),
-              admission.organisation(),
-              data,
-              statement,
-              receivedNanos,
-              outcome -> finished(statement, outcome))
-          .start();
-    } else {
-      new ReadRun(
-              context,
-              admission.route(),
-              admission.organisation(),
-              data,
-              statement,
-              receivedNanos,
-              outcome -> finished(statement, outcome))
-          .start();
-    }
-  }
-
-  private static boolean needsPrimary(Route route, boolean writes) {
-    return writes || route.consistency() == Consistency.PRIMARY;
-  }
-
-  private void runAtHome(PeerLink home, Statement statement, Admission admission, int tries) {
-    Route route = admission.route();
-    home.forward(
-        data.forward(
+    new SingleStatement(
+            context,
+            admission,
+            data,
             statement,
-            0,
-            false,
-            admission.organisation(),
-            route,
-            context.homes().direct(route.group())),
-        route.statementTimeoutMs(),
-        outcome -> {
-          if (outcome != null) {
-            if (outcome.failure() == null && data.writes(statement)) {
-              data.committed(route.group(), outcome.position());
-            }
-            finished(statement, outcome);
-          } else {
-            homeLost(statement, admission, tries);
-          }
-        });
-  }
-
-  /** A read runs once more at the next home; whether a write took effect is not known. */
-  private void homeLost(Statement statement, Admission admission, int tries) {
-    Route route = admission.route();
-    PeerLink next =
-        context.homes().remote(route.group(), needsPrimary(route, data.writes(statement)));
-    if (data.writes(statement)) {
-      finished(statement, Outcome.failed(FailureCode.IN_DOUBT, "home is lost", SessionState.IDLE));
-    } else if (next != null && tries < MAX_HOME_TRIES && !channel.isClosed()) {
-      runAtHome(next, statement, admission, tries + 1);
-    } else {
-      finished(statement, Outcome.failed(FailureCode.FAILED, "home is lost", SessionState.IDLE));
-    }
+            receivedNanos,
+            outcome -> finished(statement, outcome))
+        .start();
   }
 
   private void inTransaction(Statement statement) {
-    Admission admission = admitKey();
+    Admission admission = Admission.decide(context.declarations(), database, credential);
     if (admission.refusal() != null) {
       dropTransaction();
       SessionState after =
@@ -311,7 +248,7 @@
   }
 
   private void admit(Statement statement, Consumer<Admission> onAdmitted) {
-    Admission admission = admitKey();
+    Admission admission = Admission.decide(context.declarations(), database, credential);
     if (admission.refusal() != null) {
       refuse(statement, admission);
       return;
@@ -350,23 +287,6 @@
             });
   }
 
-  private Admission admitKey() {
-    Declaration declaration = context.declarations().current();
-    Route route = declaration.routes().get(database);
-    if (route == null) {
-      return Admission.refusedFor(FailureCode.UNKNOWN_DATABASE, "no such database");
-    }
-    String organisation = declaration.keyOwners().get(credential);
-    if (organisation == null && !route.open()) {
-      return Admission.refusedFor(FailureCode.UNAUTHORIZED, "key is withdrawn");
-    }
-    if (!route.open() && !context.declarations().keysProven()) {
-      return Admission.refusedFor(
-          FailureCode.BUSY, "settings cannot be shown to be current; come back in 1000 ms");
-    }
-    return Admission.admitted(route, organisation == null ? "-" : organisation);
-  }
-
   private void refuse(Statement statement, Admission admission) {
     context
         .log()
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Fleet.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -177,9 +176,4 @@
       store.endLease(lease, done -> Logger.info("event=left_fleet status={}", done.status()));
     }
   }
-
-  /** Returns how long an entry outlives its instance. */
-  static long ttlNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(TTL_MS);
-  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -26,7 +26,7 @@
 
   private ForwardCodec() {}
 
-  static void pack(MessagePacker packer, PeerMessage.Forward forward) throws IOException {
+  static void packForward(MessagePacker packer, PeerMessage.Forward forward) throws IOException {
     packer.packLong(forward.correlation()).packLong(forward.transaction());
     packer.packBoolean(forward.readOnly()).packString(forward.organisation());
     Route route = forward.route();
@@ -45,7 +45,7 @@
     for (Map.Entry<String, String> value : forward.values().entrySet()) {
       packer.packString(value.getKey()).packString(value.getValue());
     }
-    pack(packer, forward.ownCommit());
+    packPosition(packer, forward.ownCommit());
     packer.packBoolean(forward.counted());
   }
 
@@ -94,7 +94,7 @@
         unpacker.unpackBoolean());
   }
 
-  static void pack(MessagePacker packer, PeerMessage.Result result) throws IOException {
+  static void packResult(MessagePacker packer, PeerMessage.Result result) throws IOException {
     Outcome outcome = result.outcome();
     packer.packLong(result.correlation()).packArrayHeader(outcome.rows().size());
     for (String row : outcome.rows()) {
@@ -106,7 +106,7 @@
     }
     packer.packInt(outcome.failure() == null ? NONE : outcome.failure().ordinal());
     packer.packString(outcome.reason()).packInt(outcome.state().ordinal());
-    pack(packer, outcome.position());
+    packPosition(packer, outcome.position());
   }
 
   static PeerMessage.Result unpackResult(MessageUnpacker unpacker) throws IOException {
@@ -129,7 +129,7 @@
             unpackPosition(unpacker)));
   }
 
-  private static void pack(MessagePacker packer, Position position) throws IOException {
+  private static void packPosition(MessagePacker packer, Position position) throws IOException {
     packer.packBoolean(position != null);
     if (position != null) {
       packer.packLong(position.term()).packLong(position.index());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -100,6 +100,11 @@
     return direct(group) || remote(group, false) == null;
   }
 
+  /** Returns whether {@code peer} may serve {@code group}. */
+  boolean serves(String group, String peer) {
+    return direct(group) || plan().ranked(group).contains(peer);
+  }
+
   /** Returns whether this instance may serve {@code group}. */
   boolean serves(String group) {
     return serves(group, self);
@@ -140,11 +145,6 @@
     return ids;
   }
 
-  /** Returns whether {@code peer} may serve {@code group}. */
-  boolean serves(String group, String peer) {
-    return direct(group) || plan().ranked(group).contains(peer);
-  }
-
   /** Returns the instances that this one keeps links to. */
   Set<String> neighbours() {
     if (allDirect()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerCodec.java
@@ -51,7 +51,7 @@
       packer.packInt(PING).packString(ping.instance()).packLong(ping.sequence());
     } else if (message instanceof PeerMessage.Pong pong) {
       packer.packInt(PONG).packLong(pong.sequence()).packLong(pong.version());
-      packer.packLong(pong.proofAgeMs()).packLong(pong.storeRevision());
+      packer.packLong(pong.proofAgeMs()).packLong(pong.revision());
       packer.packArrayHeader(pong.groups().size());
       for (PeerMessage.GroupNews group : pong.groups()) {
         packNews(packer, group);
@@ -69,10 +69,10 @@
       packer.packDouble(give.answer().tokens());
     } else if (message instanceof PeerMessage.Forward forward) {
       packer.packInt(FORWARD);
-      ForwardCodec.pack(packer, forward);
+      ForwardCodec.packForward(packer, forward);
     } else if (message instanceof PeerMessage.Result result) {
       packer.packInt(RESULT);
-      ForwardCodec.pack(packer, result);
+      ForwardCodec.packResult(packer, result);
     } else if (message instanceof PeerMessage.EndTransaction end) {
       packer.packInt(END_TRANSACTION).packLong(end.transaction());
     } else if (message instanceof PeerMessage.AskDeclaration) {
@@ -154,7 +154,7 @@
     final long sequence = unpacker.unpackLong();
     final long version = unpacker.unpackLong();
     final long proofAgeMs = unpacker.unpackLong();
-    final long storeRevision = unpacker.unpackLong();
+    final long revision = unpacker.unpackLong();
     int count = count(unpacker.unpackArrayHeader(), MAX_ITEMS);
     List<PeerMessage.GroupNews> groups = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -171,7 +171,7 @@
               unpacker.unpackString(),
               unpacker.unpackLong()));
     }
-    return new PeerMessage.Pong(sequence, version, proofAgeMs, storeRevision, groups);
+    return new PeerMessage.Pong(sequence, version, proofAgeMs, revision, groups);
   }
 
   private static PeerMessage unpackAskTokens(MessageUnpacker unpacker) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerLink.java
@@ -91,10 +91,10 @@
   }
 
   /**
-   * Sends a statement to the peer; {@code onOutcome} gets its outcome, or null if none comes before
-   * the link ends or the time is over.
+   * Sends a statement to the peer and returns whether it was sent. If so, {@code onOutcome} gets
+   * its outcome, or null if none comes before the link ends or the time is over.
    */
-  void forward(PeerMessage.Forward forward, long timeoutMs, Consumer<Outcome> onOutcome) {
+  boolean forward(PeerMessage.Forward forward, long timeoutMs, Consumer<Outcome> onOutcome) {
     long correlation = ++correlations;
     boolean sent =
         send(
@@ -110,8 +110,7 @@
                 forward.ownCommit(),
                 forward.counted()));
     if (!sent) {
-      onOutcome.accept(null);
-      return;
+      return false;
     }
     EventLoop.Timer timer =
         loop.after(timeoutMs + FORWARD_MARGIN_MS, () -> settle(correlation, null));
@@ -121,6 +120,7 @@
           timer.cancel();
           onOutcome.accept(outcome);
         });
+    return true;
   }
 
   private void settle(long correlation, Outcome outcome) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -26,11 +26,10 @@
    * @param sequence of the ping
    * @param version version of the declaration in force
    * @param proofAgeMs age of the proof that it is the newest; -1 without one
-   * @param storeRevision newest revision of the store that it has taken in
+   * @param revision newest revision of the store that it has taken in
    * @param groups what is known of each group's primary
    */
-  record Pong(
-      long sequence, long version, long proofAgeMs, long storeRevision, List<GroupNews> groups)
+  record Pong(long sequence, long version, long proofAgeMs, long revision, List<GroupNews> groups)
       implements PeerMessage {}
 
   /**
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -230,7 +230,7 @@
             .add(news.position(), pingNanos - TimeUnit.MILLISECONDS.toNanos(news.ageMs()));
       }
     }
-    sync.heardOf(pong.storeRevision());
+    sync.heardOf(pong.revision());
     long version = declarations.current().version();
     if (pong.version() > version) {
       link.send(new PeerMessage.AskDeclaration());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -59,16 +59,23 @@
     }
     wrote |= !commit && session.writes(next);
     running = true;
-    link.forward(
-        session.forward(next, number, readOnly, organisation, route, homes.direct(route.group())),
-        route.statementTimeoutMs(),
-        outcome -> {
-          running = false;
-          usedNanos = loop.nowNanos();
-          if (!ended) {
-            onResult.accept(outcome == null ? lost(commit, after) : settled(commit, outcome));
-          }
-        });
+    boolean counted = homes.direct(route.group());
+    boolean sent =
+        link.forward(
+            session.forward(next, number, readOnly, organisation, route, counted),
+            route.statementTimeoutMs(),
+            outcome -> {
+              running = false;
+              usedNanos = loop.nowNanos();
+              if (!ended) {
+                onResult.accept(outcome == null ? lost(commit, after) : settled(commit, outcome));
+              }
+            });
+    if (!sent) {
+      running = false;
+      onResult.accept(
+          Outcome.failed(FailureCode.ABORTED, "home is lost; come back in 500 ms", after));
+    }
   }
 
   private Outcome lost(boolean commit, SessionState after) {
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -0,0 +1,112 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.declaration.Consistency;
+import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.Statement;
+import java.util.function.Consumer;
+
+/**
+ * A statement outside a transaction that has been admitted: runs it here or at its group's home.
+ *
+ * <p>Invariant: a write is sent to one home at most. Thread safety: confined to the loop's thread.
+ */
+final class SingleStatement {
+  private static final int MAX_HOME_TRIES = 2;
+
+  private final GatewayContext context;
+  private final Admission admission;
+  private final SessionData session;
+  private final Statement statement;
+  private final long receivedNanos;
+  private final Consumer<Outcome> onOutcome;
+  private final Route route;
+  private final boolean writes;
+  private int homeTries;
+
+  SingleStatement(
+      GatewayContext context,
+      Admission admission,
+      SessionData session,
+      Statement statement,
+      long receivedNanos,
+      Consumer<Outcome> onOutcome) {
+    this.context = context;
+    this.admission = admission;
+    this.session = session;
+    this.statement = statement;
+    this.receivedNanos = receivedNanos;
+    this.onOutcome = onOutcome;
+    route = admission.route();
+    writes = session.writes(statement);
+  }
+
+  /** Returns whether only the primary may run a statement of {@code route}. */
+  static boolean needsPrimary(Route route, boolean writes) {
+    return writes || route.consistency() == Consistency.PRIMARY;
+  }
+
+  void start() {
+    PeerLink home = context.homes().remote(route.group(), needsPrimary(route, writes));
+    if (home != null) {
+      runAt(home);
+    } else {
+      runHere();
+    }
+  }
+
+  private void runHere() {
+    context.homes().served(route.group());
+    String organisation = admission.organisation();
+    if (writes) {
+      new WriteRun(context, route, organisation, session, statement, receivedNanos, onOutcome)
+          .start();
+    } else {
+      new ReadRun(context, route, organisation, session, statement, receivedNanos, onOutcome)
+          .start();
+    }
+  }
+
+  private void runAt(PeerLink home) {
+    homeTries++;
+    boolean counted = context.homes().direct(route.group());
+    boolean sent =
+        home.forward(
+            session.forward(statement, 0, false, admission.organisation(), route, counted),
+            route.statementTimeoutMs(),
+            this::answered);
+    if (!sent) {
+      fail(FailureCode.BUSY, "home is lost; come back in 300 ms");
+    }
+  }
+
+  private void answered(Outcome outcome) {
+    if (outcome == null) {
+      homeLost();
+      return;
+    }
+    if (outcome.failure() == null && writes) {
+      session.committed(route.group(), outcome.position());
+    }
+    onOutcome.accept(outcome);
+  }
+
+  /** A read runs once more at the next home; whether a write took effect is not known. */
+  private void homeLost() {
+    if (writes) {
+      fail(FailureCode.IN_DOUBT, "home is lost");
+      return;
+    }
+    PeerLink next = context.homes().remote(route.group(), needsPrimary(route, false));
+    if (next != null && homeTries < MAX_HOME_TRIES) {
+      runAt(next);
+    } else {
+      fail(FailureCode.FAILED, "home is lost");
+    }
+  }
+
+  private void fail(FailureCode code, String reason) {
+    onOutcome.accept(Outcome.failed(code, reason, SessionState.IDLE));
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -68,11 +68,6 @@
     return all.size();
   }
 
-  /** Returns how many tries to open a connection failed since one succeeded. */
-  int failedOpens() {
-    return failedOpens;
-  }
-
   /** Returns whether the target said anything on any connection after {@code sinceNanos}. */
   boolean heardSince(long sinceNanos) {
     for (TargetConnection connection : all) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -62,7 +62,7 @@
     }
 
     private void write(HttpRequest request) {
-      byte[] content = request.body().getBytes(StandardCharsets.UTF_8);
+      final byte[] content = request.body().getBytes(StandardCharsets.UTF_8);
       OutBuffer out = channel.out();
       out.text(request.method()).octet(' ').text(request.path()).text(" HTTP/1.1\r\nHost: ");
       out.text(address).text("\r\n");
