Set back the back-off in the limits of serve

Cause: the back-off for fruitless asking, made for the gateway, stood in AllowanceLedger, which serve uses too; its first asks came twice as late. Ruled out: load alone, since they failed on an idle machine.

--- a/core/src/main/java/io/hickorydrift/core/limit/AllowanceLedger.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/AllowanceLedger.java
@@ -20,8 +20,6 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final long MIN_RETRY_MS = 10;
   private static final double MIN_ASK = 0.05;
-  // Peers that had nothing to give are asked again after up to eight times as long.
-  private static final int MAX_BACKOFF_STEPS = 3;
 
   private record Waiting(long ticket, long untilNanos) {}
 
@@ -31,7 +29,6 @@
     private final OrganisationAllowance allowance;
     private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
     private long nextAskNanos = Long.MIN_VALUE;
-    private int fruitless;
     private int nextPeer;
 
     private Account(OrganisationAllowance allowance) {
@@ -130,9 +127,6 @@
     Account account = accounts.get(ask.organisation);
     if (account != null) {
       account.allowance.credit(peer, answer, ask.sentNanos);
-      if (answer.tokens() >= MIN_ASK) {
-        account.fruitless = 0;
-      }
       serve(account, nowNanos, actions);
       ask(ask.organisation, account, nowNanos, actions);
     }
@@ -171,8 +165,7 @@
     if (shortage < MIN_ASK) {
       return;
     }
-    account.fruitless = Math.min(account.fruitless + 1, MAX_BACKOFF_STEPS);
-    account.nextAskNanos = nowNanos + (settings.askIntervalNanos() << account.fruitless);
+    account.nextAskNanos = nowNanos + settings.askIntervalNanos();
     int fanOut = Math.min(settings.fanOut(), peers.size());
     for (int i = 0; i < fanOut; i++) {
       String peer = peers.get(Math.floorMod(account.nextPeer++, peers.size()));
