Remove two methods that nothing calls

Behaviour as before: build, formatter and linter clean, GatewayTest 36 of 36, HttpClientTest 2 of 2; the whole script was not run again.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -80,11 +80,6 @@
     return loaded;
   }
 
-  /** Returns whether the last call was answered. */
-  boolean reachable() {
-    return reachable;
-  }
-
   /** Returns whether entries that lapsed while the store was away have had time to return. */
   boolean settled() {
     return loaded && reachable && loop.nowNanos() - troubleNanos >= RETURN_NANOS;
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -1,7 +1,6 @@
 package io.hickorydrift.proxy.net;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -100,16 +99,6 @@
     return closed;
   }
 
-  /** Returns the address of the other side, or null. */
-  public String remoteHost() {
-    try {
-      InetSocketAddress remote = (InetSocketAddress) socket.getRemoteAddress();
-      return remote == null ? null : remote.getAddress().getHostAddress();
-    } catch (IOException e) {
-      return null;
-    }
-  }
-
   /** Closes at once; what has not left is lost. */
   public void close() {
     if (closed) {
