--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/StartExperiment.java
@@ -0,0 +1,175 @@
+package io.hickorydrift.proxy.bench;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Processor time and memory of a start until callers can connect, beside a bare process. */
+public final class StartExperiment implements Experiment {
+  private static final int RUNS = 7;
+  private static final long POLL_MS = 2;
+  private static final long LIMIT_MS = 10_000;
+  // The class-data archive is used by later starts only if the options agree with its own.
+  private static final List<String> JVM_OPTIONS =
+      List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+  // Linux counts processor time of a process in ticks of 10 ms.
+  private static final long TICK_MS = 10;
+  private static final int USER_TICKS_FIELD = 11;
+  private static final int SYSTEM_TICKS_FIELD = 12;
+
+  private record Start(long wallMs, long processorMs, long peakMb) {}
+
+  @Override
+  public String name() {
+    return "start";
+  }
+
+  @Override
+  public String summary() {
+    return "processor time and memory of a start, with and without the class-data archive";
+  }
+
+  @Override
+  public void run(PrintStream out) throws Exception {
+    String jar = jar();
+    String archive = "-XX:SharedArchiveFile=" + jar.replace(".jar", ".jsa");
+    out.printf("| process, median of %d starts | wall ms | processor ms | peak MB |%n", RUNS);
+    out.println("|---|---|---|---|");
+    measure(out, "bare", List.of("-cp", jar, BareProcess.class.getName()), false);
+    measure(out, "gateway, no archive", List.of("-jar", jar, "gateway", "--settings"), true);
+    measure(
+        out,
+        "gateway, class-data archive",
+        List.of(archive, "-jar", jar, "gateway", "--settings"),
+        true);
+  }
+
+  private static String jar() throws URISyntaxException {
+    Path path =
+        Path.of(StartExperiment.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+    if (!path.toString().endsWith(".jar")) {
+      throw new IllegalStateException("measured on the packaged binary only, not on " + path);
+    }
+    return path.toString();
+  }
+
+  private static void measure(PrintStream out, String name, List<String> tail, boolean settings)
+      throws Exception {
+    List<Start> starts = new ArrayList<>();
+    for (int i = 0; i < RUNS; i++) {
+      starts.add(start(tail, settings));
+    }
+    out.printf(
+        "| %s | %d | %d | %d |%n",
+        name,
+        median(starts.stream().mapToLong(Start::wallMs).toArray()),
+        median(starts.stream().mapToLong(Start::processorMs).toArray()),
+        median(starts.stream().mapToLong(Start::peakMb).toArray()));
+  }
+
+  private static long median(long[] values) {
+    Arrays.sort(values);
+    return values[values.length / 2];
+  }
+
+  private static Start start(List<String> tail, boolean settings) throws Exception {
+    int port = freePort();
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JVM_OPTIONS);
+    command.addAll(tail);
+    Path file = Files.createTempFile("start", ".ini");
+    if (settings) {
+      Files.writeString(file, settingsText(port));
+      command.add(file.toString());
+    } else {
+      command.add(String.valueOf(port));
+    }
+    long startNanos = System.nanoTime();
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    try {
+      awaitPort(port, process);
+      long wallMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      return new Start(wallMs, processorMs(process), peakMb(process));
+    } finally {
+      process.destroyForcibly().waitFor();
+      Files.delete(file);
+    }
+  }
+
+  private static String settingsText(int port) throws IOException {
+    String address = "127.0.0.1:";
+    return String.join(
+        "\n",
+        "[instance]",
+        "id = start",
+        "failure_domain = d",
+        "[listen]",
+        "callers = " + address + port,
+        "readiness = " + address + freePort(),
+        "peers = " + address + freePort(),
+        "metrics = " + address + freePort(),
+        "[platform]",
+        "store = " + address + freePort(),
+        "promotion = " + address + freePort(),
+        "[bounds]",
+        "key_validity_ms = 5000",
+        "[stop]",
+        "grace_ms = 6000",
+        "[capacity]",
+        "core_share = 0.75",
+        "cores = 1",
+        "link_mbps = 1000",
+        "");
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static void awaitPort(int port, Process process) throws Exception {
+    long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MS);
+    while (System.nanoTime() - limitNanos < 0 && process.isAlive()) {
+      try (Socket socket = new Socket()) {
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        return;
+      } catch (IOException e) {
+        Thread.sleep(POLL_MS); // Not yet bound; asked again until the limit.
+      }
+    }
+    throw new IllegalStateException("the process does not accept connections");
+  }
+
+  private static long processorMs(Process process) throws IOException {
+    String stat = Files.readString(Path.of("/proc", String.valueOf(process.pid()), "stat"));
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    long ticks =
+        Long.parseLong(fields[USER_TICKS_FIELD]) + Long.parseLong(fields[SYSTEM_TICKS_FIELD]);
+    return ticks * TICK_MS;
+  }
+
+  private static long peakMb(Process process) throws IOException {
+    Path status = Path.of("/proc", String.valueOf(process.pid()), "status");
+    for (String line : Files.readAllLines(status)) {
+      if (line.startsWith("VmHWM:")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) / 1024;
+      }
+    }
+    throw new IllegalStateException("no peak of memory in " + status);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
@@ -9,6 +9,7 @@
 import io.hickorydrift.proxy.bench.LimitsExperiment;
 import io.hickorydrift.proxy.bench.ReplicaReadsExperiment;
 import io.hickorydrift.proxy.bench.SettingsExperiment;
+import io.hickorydrift.proxy.bench.StartExperiment;
 import java.io.PrintStream;
 import java.util.List;
 import joptsimple.OptionSet;
@@ -24,6 +25,7 @@
           new FairnessExperiment(),
           new HomesExperiment(),
           new SettingsExperiment(),
+          new StartExperiment(),
           new CapacityExperiment());
 
   @Override
