--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/StartExperiment.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/StartExperiment.java
@@ -41,7 +41,7 @@
   @Override
   public void run(PrintStream out) throws Exception {
     String jar = jar();
-    String archive = "-XX:SharedArchiveFile=" + jar.replace(".jar", ".jsa");
+    final String archive = "-XX:SharedArchiveFile=" + jar.replace(".jar", ".jsa");
     out.printf("| process, median of %d starts | wall ms | processor ms | peak MB |%n", RUNS);
     out.println("|---|---|---|---|");
     measure(out, "bare", List.of("-cp", jar, BareProcess.class.getName()), false);
@@ -82,7 +82,7 @@
   }
 
   private static Start start(List<String> tail, boolean settings) throws Exception {
-    int port = freePort();
+    final int port = freePort();
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(JVM_OPTIONS);
