Check a primary at once when another observer suspects it

Cause: an observer through which nobody uses a group probes its primary every 3 s only. Change: the first suspicion heard from another observer asks for a fresh probe now. FailoverMachineTest.anothersSuspicionIsCheckedAtOnce was run red first.

FleetTest.readsOfAnAcceptedAgeGoToReplicas was wrong: its table is younger than the accepted age, so that no replica can prove its age until the entry is applied (60 ms) and polled (50 ms). The count now begins after lag and two polls, 160 ms; count and bound are as before.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverMachine.java
@@ -105,7 +105,13 @@
   /** Another observer tells what it suspects. */
   public List<FailoverAction> told(Suspicion suspicion, long nowNanos) {
     if (suspicion.suspected() && suspicion.term() == view.term()) {
-      suspectedAtNanos.put(suspicion.observer(), nowNanos);
+      Long before = suspectedAtNanos.put(suspicion.observer(), nowNanos);
+      boolean news = before == null || nowNanos - before > times.suspicionNanos();
+      if (news && !suspecting) {
+        // An observer that nobody uses the group through probes too rarely to agree in time.
+        watch.doubt();
+        nextProbeNanos = nowNanos;
+      }
     } else {
       suspectedAtNanos.remove(suspicion.observer());
     }
--- a/core/src/main/java/io/hickorydrift/core/failover/PrimaryWatch.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/PrimaryWatch.java
@@ -18,6 +18,11 @@
     return checkFresh;
   }
 
+  /** Asks for a fresh probe, without counting a failure. */
+  void doubt() {
+    checkFresh = true;
+  }
+
   /** Takes in a probe's result. */
   void probed(boolean answered, boolean fresh) {
     if (answered) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/FleetTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/FleetTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,6 +20,8 @@
 /** Sessions, writes and transactions over real sockets, with lagging replicas. */
 class FleetTest {
   private static final long LAG_MS = 60;
+  // How often a home asks the targets of a group in use.
+  private static final long POLL_MS = 50;
 
   private LocalFleet fleet;
   private CallerClient caller;
@@ -63,19 +66,29 @@
   @Test
   void readsOfAnAcceptedAgeGoToReplicas() {
     CallerClient other = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
+    // The table is younger than the accepted age, so that until its entry is applied and a poll
+    // has shown that, no replica can prove anything.
+    long provenNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAG_MS + 2 * POLL_MS);
+    do {
+      readOfAcceptedAge(other, 0);
+    } while (System.nanoTime() - provenNanos < 0);
     int onReplica = 0;
     for (int i = 0; i < 100; i++) {
-      CallerAnswer read =
-          other
-              .call(at(i % 3), "read-0", null, CallerClient.body("SELECT 1", 1_000L, 2_000L))
-              .join();
-      assertThat(read.code()).as(read.message()).isZero();
-      assertThat(read.ageMs()).isNotNull().isLessThanOrEqualTo(1_000);
-      onReplica += "replica".equals(read.targetRole()) ? 1 : 0;
+      onReplica += "replica".equals(readOfAcceptedAge(other, i % 3).targetRole()) ? 1 : 0;
     }
     assertThat(onReplica).isGreaterThan(80);
   }
 
+  private CallerAnswer readOfAcceptedAge(CallerClient client, int instance) {
+    CallerAnswer read =
+        client
+            .call(at(instance), "read-0", null, CallerClient.body("SELECT 1", 1_000L, 2_000L))
+            .join();
+    assertThat(read.code()).as(read.message()).isZero();
+    assertThat(read.ageMs()).isNotNull().isLessThanOrEqualTo(1_000);
+    return read;
+  }
+
   @Test
   void repeatedRequestIdTakesEffectOnce() {
     String id = UUID.randomUUID().toString();
@@ -98,9 +111,9 @@
   @Test
   void transactionsOfTwoSessionsDoNotMix() {
     CallerClient second = new CallerClient(CallerClient.newHttp(), FleetPlan.key(0));
-    String one = caller.call(at(0), "transaction-0", null).transaction();
-    String two = second.call(at(1), "transaction-0", null).transaction();
-    assertThat(one).isNotNull().isNotEqualTo(two);
+    String one = begun(caller, 0);
+    String two = begun(second, 1);
+    assertThat(one).isNotEqualTo(two);
     caller.call(at(2), "transactions/" + one + "/statement", "INSERT INTO t VALUES ('one', 1)");
     second.call(at(2), "transactions/" + two + "/statement", "INSERT INTO t VALUES ('two', 1)");
     assertThat(second.call(at(0), "transactions/" + two + "/rollback", null).code()).isZero();
@@ -110,6 +123,12 @@
     assertThat(read.rows().toString()).isEqualTo("[[one]]");
   }
 
+  private String begun(CallerClient client, int instance) {
+    CallerAnswer begun = client.call(at(instance), "transaction-0", null);
+    assertThat(begun.transaction()).as("code %s: %s", begun.code(), begun.message()).isNotNull();
+    return begun.transaction();
+  }
+
   @Test
   void transactionOfAnotherOrganisationIsNotFound() {
     String id = caller.call(at(0), "transaction-0", null).transaction();
