Let a replica's word be asked for before a commit is acknowledged

There was no way to choose. Change: AcknowledgementRule with two implementations, chosen by `[commits] acknowledged_by` (primary, the default, or replica). Confirmations asks one replica at a time, for all commits that wait in a group; without a replica's word by the statement's deadline the answer is in doubt. A log of a later term confirms nothing, since its primary may have been promoted without the commit. GatewaySettings gets a builder. Ruled out: waiting until a replica has applied the commit (8 to 60 ms): what decides a promotion is what was received.

Finding on the way: GatewayTest.rateCountsOverAllInstances failed once with "address already in use". FreePorts takes ports below that range, none twice.

--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/commit/AcknowledgementRule.java
@@ -0,0 +1,10 @@
+package io.hickorydrift.core.commit;
+
+import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.message.Position;
+
+/** Whether enough is known of a commit to acknowledge it. Implementations hold no state. */
+public interface AcknowledgementRule {
+  /** Returns whether {@code commit}, which the group's primary has carried out, may be told. */
+  boolean satisfied(GroupState group, Position commit);
+}
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -14,6 +14,7 @@
   private TargetEntry entry;
   private long primarySinceRevision;
   private Position applied;
+  private Position received;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private int outstanding;
   private double answerNanos;
@@ -29,6 +30,7 @@
     }
     if (newer.bornMs() != entry.bornMs()) {
       applied = null;
+      received = null;
     }
     entry = newer;
   }
@@ -55,6 +57,23 @@
     }
   }
 
+  /** It reported that its log ends at {@code position}, applied or not. */
+  public void reported(Position position) {
+    received = position;
+  }
+
+  /**
+   * Returns whether it is known to have received {@code commit}. A log of a later term tells
+   * nothing: its primary may have been promoted without the commit.
+   */
+  public boolean received(Position commit) {
+    return sameTermReaches(received, commit) || sameTermReaches(applied, commit);
+  }
+
+  private static boolean sameTermReaches(Position held, Position wanted) {
+    return held != null && held.term() == wanted.term() && held.index() >= wanted.index();
+  }
+
   /** Returns whether it is known to hold {@code position}. */
   public boolean holds(Position position) {
     return applied != null && Positions.reaches(applied, position);
--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/commit/AcknowledgementTest.java
@@ -0,0 +1,71 @@
+package io.hickorydrift.core.commit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.directory.Directory;
+import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.message.Position;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class AcknowledgementTest {
+  private static final Position COMMIT = new Position(3, 7);
+
+  private final Directory directory = new Directory(target -> {});
+  private GroupState group;
+  private TargetState primary;
+  private TargetState replica;
+
+  @BeforeEach
+  void announce() {
+    directory.put(entry("p", true, 1), 1);
+    directory.put(entry("r", false, 1), 2);
+    group = directory.group("g");
+    for (TargetState target : group.targets()) {
+      if (target.entry().primary()) {
+        primary = target;
+      } else {
+        replica = target;
+      }
+    }
+  }
+
+  private static TargetEntry entry(String id, boolean leads, long bornMs) {
+    return new TargetEntry(id, "g", "127.0.0.1:1", "d", 3, false, leads, bornMs);
+  }
+
+  @Test
+  void primaryWordNeedsNoReplica() {
+    assertThat(Acknowledgement.PRIMARY.rule().satisfied(group, COMMIT)).isTrue();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"3, 6, false", "3, 7, true", "3, 8, true", "2, 9, false", "4, 9, false"})
+  void replicaMustShowTheCommitInItsTerm(long term, long index, boolean satisfied) {
+    replica.reported(new Position(term, index));
+    assertThat(Acknowledgement.REPLICA.rule().satisfied(group, COMMIT)).isEqualTo(satisfied);
+  }
+
+  @Test
+  void whatReplicasApplyTheyHaveReceived() {
+    replica.showed(COMMIT);
+    assertThat(Acknowledgement.REPLICA.rule().satisfied(group, COMMIT)).isTrue();
+  }
+
+  @Test
+  void primaryIsNoReplica() {
+    primary.reported(COMMIT);
+    assertThat(Acknowledgement.REPLICA.rule().satisfied(group, COMMIT)).isFalse();
+  }
+
+  @Test
+  void replicaThatBeganAnewHasReceivedNothing() {
+    replica.reported(COMMIT);
+    directory.put(entry("r", false, 2), 3);
+    assertThat(Acknowledgement.REPLICA.rule().satisfied(group, COMMIT)).isFalse();
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/bench/StartExperiment.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/StartExperiment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URISyntaxException;
 import java.nio.file.Files;
@@ -82,7 +81,7 @@
   }
 
   private static Start start(List<String> tail, boolean settings) throws Exception {
-    final int port = freePort();
+    final int port = FreePorts.next();
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(JVM_OPTIONS);
@@ -119,12 +118,12 @@
         "failure_domain = d",
         "[listen]",
         "callers = " + address + port,
-        "readiness = " + address + freePort(),
-        "peers = " + address + freePort(),
-        "metrics = " + address + freePort(),
+        "readiness = " + address + FreePorts.next(),
+        "peers = " + address + FreePorts.next(),
+        "metrics = " + address + FreePorts.next(),
         "[platform]",
-        "store = " + address + freePort(),
-        "promotion = " + address + freePort(),
+        "store = " + address + FreePorts.next(),
+        "promotion = " + address + FreePorts.next(),
         "[bounds]",
         "key_validity_ms = 5000",
         "[stop]",
@@ -136,12 +135,6 @@
         "");
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static void awaitPort(int port, Process process) throws Exception {
     long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MS);
     while (System.nanoTime() - limitNanos < 0 && process.isAlive()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -103,7 +103,8 @@
             limits,
             new RequestLog(loop),
             metrics,
-            homes);
+            homes,
+            new Confirmations(loop, pools, settings.acknowledgement().rule()));
     gauges();
     loop.clock().onLostTime(() -> directory.groups().forEach(group -> group.sightings().clear()));
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -23,7 +23,8 @@
     RateLimits limits,
     RequestLog log,
     Metrics metrics,
-    Homes homes) {
+    Homes homes,
+    Confirmations confirmations) {
 
   /** Returns the connections to {@code target}. */
   TargetPool pool(TargetState target) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -1,10 +1,12 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.commit.Acknowledgement;
 import io.hickorydrift.proxy.settings.IniFile;
 import io.hickorydrift.proxy.settings.SettingsException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.regex.Pattern;
@@ -18,6 +20,7 @@
   private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
   private static final Pattern FRACTION = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,6})?");
+  private static final Pattern ACKNOWLEDGED_BY = Pattern.compile("primary|replica");
   private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
 
   private final String file;
@@ -36,25 +39,36 @@
 
   private GatewaySettings read() {
     GatewaySettings settings =
-        new GatewaySettings(
-            value("instance", "id", NAME),
-            value("instance", "failure_domain", NAME),
-            value("listen", "callers", ADDRESS),
-            value("listen", "readiness", ADDRESS),
-            value("listen", "peers", ADDRESS),
-            value("listen", "metrics", ADDRESS),
-            value("platform", "store", ADDRESS),
-            value("platform", "promotion", ADDRESS),
-            whole("bounds", "key_validity_ms"),
-            whole("stop", "grace_ms"),
-            fraction("capacity", "core_share") * fraction("capacity", "cores"),
-            (long) fraction("capacity", "link_mbps"));
+        GatewaySettings.builder()
+            .instance(value("instance", "id", NAME), value("instance", "failure_domain", NAME))
+            .callersListen(value("listen", "callers", ADDRESS))
+            .readinessListen(value("listen", "readiness", ADDRESS))
+            .peersListen(value("listen", "peers", ADDRESS))
+            .metricsListen(value("listen", "metrics", ADDRESS))
+            .platform(value("platform", "store", ADDRESS), value("platform", "promotion", ADDRESS))
+            .keyValidityMs(whole("bounds", "key_validity_ms"))
+            .stopMs(whole("stop", "grace_ms"))
+            .capacity(
+                fraction("capacity", "core_share") * fraction("capacity", "cores"),
+                (long) fraction("capacity", "link_mbps"))
+            .acknowledgement(acknowledgement())
+            .build();
     if (!problems.isEmpty()) {
       throw new SettingsException(problems);
     }
     return settings;
   }
 
+  private Acknowledgement acknowledgement() {
+    if (!sections.getOrDefault("commits", Map.of()).containsKey("acknowledged_by")) {
+      return Acknowledgement.PRIMARY;
+    }
+    String value = value("commits", "acknowledged_by", ACKNOWLEDGED_BY);
+    return value.isEmpty()
+        ? Acknowledgement.PRIMARY
+        : Acknowledgement.valueOf(value.toUpperCase(Locale.ROOT));
+  }
+
   private String value(String section, String key, Pattern pattern) {
     String value = sections.getOrDefault(section, Map.of()).get(key);
     if (value == null || !pattern.matcher(value).matches()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.FailureCode;
@@ -162,12 +163,22 @@
 
   private void committed(Reply reply) {
     if (reply.ok()) {
+      finish();
       if (wrote) {
-        context.sighted(context.directory().group(route.group()), reply);
+        GroupState group = context.directory().group(route.group());
+        context.sighted(group, reply);
         session.committed(route.group(), reply.position());
+        context
+            .confirmations()
+            .await(
+                group,
+                organisation,
+                reply.position(),
+                deadlineNanos,
+                confirmed -> acknowledge(reply, confirmed));
+      } else {
+        end(Outcome.of(reply, SessionState.IDLE));
       }
-      finish();
-      end(Outcome.of(reply, SessionState.IDLE));
       return;
     }
     boolean notRun = reply.failure() != null && reply.failure().notRun();
@@ -188,6 +199,15 @@
     end(Outcome.failed(code, reply.text(), SessionState.IDLE));
   }
 
+  private void acknowledge(Reply reply, boolean confirmed) {
+    if (confirmed) {
+      end(Outcome.of(reply, SessionState.IDLE));
+    } else {
+      String reason = "no replica has shown the commit in time";
+      end(Outcome.failed(FailureCode.IN_DOUBT, reason, SessionState.IDLE));
+    }
+  }
+
   private void logFailure(Reply reply) {
     context
         .log()
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteRun.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.FailureCode;
@@ -21,6 +22,7 @@
 
   private final GatewayContext context;
   private final Route route;
+  private final String organisation;
   private final SessionData session;
   private final Statement statement;
   private final Consumer<Outcome> onOutcome;
@@ -37,6 +39,7 @@
       Consumer<Outcome> onOutcome) {
     this.context = context;
     this.route = route;
+    this.organisation = organisation;
     this.session = session;
     this.statement = statement;
     this.onOutcome = onOutcome;
@@ -82,9 +85,17 @@
 
   private void answered(TargetState target, Reply reply) {
     if (reply.ok()) {
-      context.sighted(context.directory().group(route.group()), reply);
+      GroupState group = context.directory().group(route.group());
+      context.sighted(group, reply);
       session.committed(route.group(), reply.position());
-      onOutcome.accept(Outcome.of(reply, SessionState.IDLE));
+      context
+          .confirmations()
+          .await(
+              group,
+              organisation,
+              reply.position(),
+              deadlineNanos,
+              confirmed -> acknowledge(reply, confirmed));
       return;
     }
     context
@@ -104,6 +115,14 @@
     }
   }
 
+  private void acknowledge(Reply reply, boolean confirmed) {
+    if (confirmed) {
+      onOutcome.accept(Outcome.of(reply, SessionState.IDLE));
+    } else {
+      end(FailureCode.IN_DOUBT, "no replica has shown the commit in time");
+    }
+  }
+
   private void end(FailureCode code, String reason) {
     onOutcome.accept(Outcome.failed(code, reason, SessionState.IDLE));
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.proxy.bench.FreePorts;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,15 +16,9 @@
   private final EventLoop loop = new EventLoop();
   private final List<HttpResult> results = new ArrayList<>();
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
-
   @Test
   void callsOneAfterAnotherOnOneConnection() throws IOException {
-    String address = freeAddress();
+    String address = FreePorts.nextAddress();
     List<TcpChannel> accepted = new ArrayList<>();
     new TcpListener(
         loop,
@@ -57,7 +51,7 @@
 
   @Test
   void endsCallsThatGetNoAnswer() throws IOException {
-    String address = freeAddress();
+    String address = FreePorts.nextAddress();
     new TcpListener(
         loop,
         address,
