Let instances that serve no group follow the store with pauses

Each change of a target's entry ended the watch of every instance, though only those that serve a group use it. Besides, instances without a group counted themselves among those that bring proofs, though nobody has a link to them. Ruled out: watching the declaration and the fleet alone: an instance that has to stand in would know no targets. Change: an instance that serves no group, while proofs reach it from peers, pauses 2 s between watches; new declarations still come at once over peer links; it never counts as a bringer of proofs.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -91,7 +91,15 @@
             homes,
             settings.id());
     sync =
-        new StoreSync(loop, store, platform, declarations, directory, fleet, peers::bringsProofs);
+        new StoreSync(
+            loop,
+            store,
+            platform,
+            declarations,
+            directory,
+            fleet,
+            peers::bringsProofs,
+            homes::servesAny);
     context =
         new GatewayContext(
             loop,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -110,6 +110,18 @@
     return serves(group, self);
   }
 
+  /** Returns whether this instance may serve any group, or served one lately. */
+  boolean servesAny() {
+    for (String group : declarations.current().groups().keySet()) {
+      Long last = servedNanos.get(group);
+      boolean lately = last != null && loop.nowNanos() - last < SERVING_NANOS;
+      if (lately || serves(group)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** A statement of {@code group} runs here. */
   void served(String group) {
     servedNanos.put(group, loop.nowNanos());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -108,9 +108,13 @@
 
   /**
    * Returns whether this instance asks the store often, so that the others have proofs from it. A
-   * few do, by rank among those that reach each other.
+   * few do, by rank among those that reach each other; others have no links to one that serves no
+   * group.
    */
   boolean bringsProofs() {
+    if (!homes.servesAny()) {
+      return false;
+    }
     List<String> live = new ArrayList<>(List.of(self));
     for (PeerLink link : links.values()) {
       if (link.up() && link.lastPong().proofAgeMs() >= 0) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -31,6 +31,10 @@
   // Instances whose peers bring such proofs wait longer; changes reach them as soon as the others.
   private static final long LEAN_WATCH_MS = 8_000;
   private static final long LEAN_PROOF_MS = 2_900;
+  // An instance that serves no group needs targets' entries only once it has to stand in; peers
+  // tell
+  // it of new declarations. Well within the bounds for both, which are 3 s at the least.
+  private static final long PAUSE_MS = 2_000;
   private static final long BEHIND_NANOS = 700_000_000L;
   // While the store is away, short waits show its return soon.
   private static final long PROBE_MS = 1;
@@ -48,6 +52,8 @@
   private final Map<String, EventLoop.Timer> removals = new HashMap<>();
   private long revision;
   private final BooleanSupplier leading;
+  private final BooleanSupplier serving;
+  private boolean pausing;
   private long watchNumber;
   private long watchSinceNanos;
   private long waitMs;
@@ -64,8 +70,10 @@
       Declarations declarations,
       Directory directory,
       Fleet fleet,
-      BooleanSupplier leading) {
+      BooleanSupplier leading,
+      BooleanSupplier serving) {
     this.leading = leading;
+    this.serving = serving;
     this.loop = loop;
     this.store = store;
     this.platform = platform;
@@ -85,7 +93,7 @@
     return loaded && reachable && loop.nowNanos() - troubleNanos >= RETURN_NANOS;
   }
 
-  /** Starts to follow; {@code leading} tells whether this instance brings proofs to others. */
+  /** Starts to follow. */
   void start() {
     watchNumber++;
     load("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
@@ -137,6 +145,7 @@
   }
 
   private void watch() {
+    pausing = false;
     long askedNanos = loop.nowNanos();
     long number = ++watchNumber;
     watchSinceNanos = askedNanos;
@@ -162,7 +171,7 @@
 
   /** A peer has seen {@code peerRevision}; a watch that is behind for long is dead. */
   void heardOf(long peerRevision) {
-    if (peerRevision <= revision || !loaded || !reachable) {
+    if (peerRevision <= revision || !loaded || !reachable || pausing) {
       behindSinceNanos = loop.nowNanos();
     } else if (loop.nowNanos() - behindSinceNanos > BEHIND_NANOS) {
       Logger.warn("event=watch_behind revision={} peer_revision={}", revision, peerRevision);
@@ -190,7 +199,7 @@
       answer.items().forEach(this::take);
       revision = Math.max(revision, answer.revision());
       declarations.provenAt(askedNanos);
-      watch();
+      watchOn();
     } else if (answer.status() == Status.HISTORY_LOST) {
       Logger.info("event=history_lost revision={}", revision);
       start();
@@ -199,6 +208,23 @@
     }
   }
 
+  private void watchOn() {
+    boolean proofsCome = declarations.proofAgeMs() < LEAN_PROOF_MS;
+    if (leading.getAsBoolean() || serving.getAsBoolean() || !proofsCome) {
+      watch();
+      return;
+    }
+    pausing = true;
+    long number = watchNumber;
+    loop.after(
+        PAUSE_MS,
+        () -> {
+          if (number == watchNumber) {
+            watch();
+          }
+        });
+  }
+
   private void answered() {
     if (!reachable) {
       reachable = true;
