--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/admission/Arrival.java
@@ -0,0 +1,12 @@
+package io.hickorydrift.core.admission;
+
+/**
+ * Work that asks to be let in.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param workNanos slot time that it is expected to take
+ * @param aimLeftNanos time until its aim, not above 0 if that is past
+ * @param deadlineLeftNanos time until its deadline
+ */
+public record Arrival(long workNanos, long aimLeftNanos, long deadlineLeftNanos) {}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/load/LoadKind.java
@@ -0,0 +1,27 @@
+package io.hickorydrift.proxy.bench.load;
+
+/**
+ * A kind of request.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param name its name
+ * @param share part of all requests, from 0 to 1
+ * @param primaryOnly whether only the primary may run it
+ * @param priority 0 is the most urgent
+ * @param workMs slot time in milliseconds
+ * @param aimMs time for the full worth, in milliseconds
+ * @param deadlineMs time after which an answer is worth nothing, in milliseconds
+ * @param worth of an answer within the aim
+ * @param lateWorth of a later one
+ */
+public record LoadKind(
+    String name,
+    double share,
+    boolean primaryOnly,
+    int priority,
+    double workMs,
+    double aimMs,
+    double deadlineMs,
+    double worth,
+    double lateWorth) {}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/bench/load/LoadRules.java
@@ -0,0 +1,130 @@
+package io.hickorydrift.proxy.bench.load;
+
+import io.hickorydrift.core.admission.Admission;
+import io.hickorydrift.core.admission.CompletionForecast;
+import io.hickorydrift.core.admission.FixedQueue;
+import io.hickorydrift.core.admission.StandingQueueForecast;
+import io.hickorydrift.core.connection.KeepingPolicy;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * The decisions that a run of the model goes by.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param name its name
+ * @param admission makes what decides whether work is let in
+ * @param urgentFirst whether priorities count
+ * @param fair whether slot time is shared between organisations
+ * @param keepsPrimaryFree whether reads go to the primary only if replicas have far more to do
+ * @param ahead statements sent to a target beyond its slots
+ * @param keeping which connection makes room
+ */
+public record LoadRules(
+    String name,
+    Supplier<Admission> admission,
+    boolean urgentFirst,
+    boolean fair,
+    boolean keepsPrimaryFree,
+    int ahead,
+    KeepingPolicy keeping) {
+  private static final int QUEUE = 64;
+  private static final int UNBOUNDED = Integer.MAX_VALUE / 2;
+
+  /** First come, first served, with a fixed queue. */
+  public static final LoadRules FIRST_COME =
+      new LoadRules(
+          "first come, queue of 64",
+          () -> new FixedQueue(QUEUE),
+          false,
+          false,
+          false,
+          0,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+
+  /** Everything at once to the target with the least to do. */
+  public static final LoadRules SHORTEST_QUEUE =
+      new LoadRules(
+          "shortest queue, all let in",
+          () -> new FixedQueue(UNBOUNDED),
+          false,
+          false,
+          false,
+          UNBOUNDED,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+
+  private static final LoadRules PLACED =
+      new LoadRules(
+          "+ primary kept free, few sent ahead",
+          () -> new FixedQueue(UNBOUNDED),
+          false,
+          false,
+          true,
+          2,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+  private static final LoadRules FORECAST =
+      new LoadRules(
+          "+ refused if hopeless",
+          CompletionForecast::new,
+          false,
+          false,
+          true,
+          2,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+  private static final LoadRules STANDING =
+      new LoadRules(
+          "+ no standing queue",
+          StandingQueueForecast::new,
+          false,
+          false,
+          true,
+          2,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+  private static final LoadRules URGENT =
+      new LoadRules(
+          "+ urgent first",
+          StandingQueueForecast::new,
+          true,
+          false,
+          true,
+          2,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+  private static final LoadRules FAIR =
+      new LoadRules(
+          "+ fair between organisations",
+          StandingQueueForecast::new,
+          true,
+          true,
+          true,
+          2,
+          KeepingPolicy.LEAST_RECENTLY_USED);
+
+  /** Returns the two baselines and then each rule added to those before it. */
+  public static List<LoadRules> ladder() {
+    return List.of(
+        FIRST_COME,
+        SHORTEST_QUEUE,
+        PLACED,
+        FORECAST,
+        STANDING,
+        URGENT,
+        FAIR,
+        FAIR.keeping("+ connections by expected cost", KeepingPolicy.LEAST_EXPECTED_COST),
+        FAIR.keeping("or large organisations pinned", KeepingPolicy.PINNED_LARGE));
+  }
+
+  private LoadRules keeping(String newName, KeepingPolicy policy) {
+    return new LoadRules(newName, admission, urgentFirst, fair, keepsPrimaryFree, ahead, policy);
+  }
+
+  /** Returns the rung called {@code name}. */
+  public static LoadRules rung(String name) {
+    for (LoadRules rules : ladder()) {
+      if (rules.name.equals(name)) {
+        return rules;
+      }
+    }
+    throw new IllegalArgumentException("no rules " + name);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/MeasureCommand.java
@@ -10,6 +10,7 @@
 import io.hickorydrift.proxy.bench.ReplicaReadsExperiment;
 import io.hickorydrift.proxy.bench.SettingsExperiment;
 import io.hickorydrift.proxy.bench.StartExperiment;
+import io.hickorydrift.proxy.bench.load.LoadExperiment;
 import java.io.PrintStream;
 import java.util.List;
 import joptsimple.OptionSet;
@@ -26,6 +27,7 @@
           new HomesExperiment(),
           new SettingsExperiment(),
           new StartExperiment(),
+          new LoadExperiment(),
           new CapacityExperiment());
 
   @Override
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -1,6 +1,8 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.admission.WaitingLine;
+import io.hickorydrift.core.connection.ConnectionKeeping;
+import io.hickorydrift.core.connection.KeepingPolicy;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
@@ -15,7 +17,7 @@
 
 /**
  * This instance's connections to one target, each of one organisation. Whoever finds none waits,
- * the more urgent first; a connection that another organisation has left idle longest makes room.
+ * the more urgent first; the idle connection least likely to be wanted soon makes room.
  *
  * <p>Invariant: never more connections than the budget allows, but for those in use when it shrank.
  * Thread safety: confined to the loop's thread.
@@ -46,6 +48,7 @@
   private final IntSupplier budget;
   private final List<TargetConnection> all = new ArrayList<>();
   private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
+  private final ConnectionKeeping keeping = KeepingPolicy.LEAST_EXPECTED_COST.create();
   private final WaitingLine<Waiting> waiting = new WaitingLine<>();
   private long openNextNanos = Long.MIN_VALUE;
   private boolean closed;
@@ -99,6 +102,7 @@
       waiter.refused("target left");
       return;
     }
+    keeping.used(organisation, loop.nowNanos());
     TargetConnection connection = takeIdle(organisation);
     if (connection != null) {
       waiter.granted(connection);
@@ -182,12 +186,16 @@
   }
 
   private boolean evictOne() {
-    TargetConnection oldest = idle.pollFirst();
-    if (oldest == null) {
+    if (idle.isEmpty()) {
       return false;
     }
+    List<TargetConnection> candidates = new ArrayList<>(idle);
+    List<String> organisations = new ArrayList<>(candidates.size());
+    candidates.forEach(connection -> organisations.add(connection.organisation()));
+    TargetConnection victim = candidates.get(keeping.choose(organisations, loop.nowNanos()));
+    idle.remove(victim);
     evicting = true;
-    oldest.fail("evicted");
+    victim.fail("evicted");
     evicting = false;
     return true;
   }
