--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -26,6 +26,7 @@
           new DemoCommand(),
           new MeasureCommand(),
           new StandinCommand(),
+          new SoakCommand(),
           new VersionCommand());
 
   private Main() {}
