Drop received tokens, and answers to come, after lost time

Their validity is counted on a clock that had stood still, so that they could be used long after their time. Ruled out: validity alone: it is measured on the steady clock, which a suspension stops.

--- a/core/src/main/java/io/hickorydrift/core/limit/SharedLimits.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SharedLimits.java
@@ -97,8 +97,11 @@
 
   /** Forgets all tokens, as after a time of unknown length. */
   public void drain(long nowNanos) {
+    asked.clear();
     for (Account account : accounts.values()) {
       account.bucket.drain(nowNanos);
+      account.stock.clear();
+      account.asking = false;
     }
   }
 
--- a/core/src/main/java/io/hickorydrift/core/limit/TokenStock.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/TokenStock.java
@@ -16,6 +16,10 @@
     batches.addLast(new Batch(tokens, untilNanos));
   }
 
+  void clear() {
+    batches.clear();
+  }
+
   double level(long nowNanos) {
     batches.removeIf(batch -> batch.untilNanos - nowNanos <= 0);
     double level = 0;
--- a/core/src/test/java/io/hickorydrift/core/limit/SharedLimitsTest.java
+++ b/core/src/test/java/io/hickorydrift/core/limit/SharedLimitsTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -195,4 +196,34 @@
     fleet.run(rate * 2, 30_000, weights(size, 1));
     assertThat(fleet.admitted.size() / 30.0).isBetween(rate * 0.93, rate * 1.05);
   }
+
+  @Test
+  void lostTimeTakesReceivedTokensToo() {
+    SharedLimits limits = new SharedLimits();
+    limits.setLimits(Map.of(RED, new RateLimit(10, 10)), 0);
+    limits.setHolders(RED, List.of("holder"), 0, 0);
+    AllowanceAction.Ask ask = null;
+    for (AllowanceAction action : limits.request(RED, 1, 0)) {
+      ask = action instanceof AllowanceAction.Ask next ? next : ask;
+    }
+    assertThat(ask).isNotNull();
+    limits.granted(new GrantAnswer(ask.request().correlationId(), RED, 0, 3), MS);
+    assertThat(limits.level(RED, 2 * MS)).isPositive();
+    limits.drain(2 * MS);
+    assertThat(limits.level(RED, 2 * MS)).isZero();
+  }
+
+  @Test
+  void answersToQuestionsFromBeforeLostTimeBringNothing() {
+    SharedLimits limits = new SharedLimits();
+    limits.setLimits(Map.of(RED, new RateLimit(10, 10)), 0);
+    limits.setHolders(RED, List.of("holder"), 0, 0);
+    AllowanceAction.Ask ask = null;
+    for (AllowanceAction action : limits.request(RED, 1, 0)) {
+      ask = action instanceof AllowanceAction.Ask next ? next : ask;
+    }
+    limits.drain(MS);
+    limits.granted(new GrantAnswer(ask.request().correlationId(), RED, 0, 3), 2 * MS);
+    assertThat(limits.level(RED, 2 * MS)).isZero();
+  }
 }
