Ask for a duty that another holds twice a second only

Ruled out: waiting for the end of the lease alone: the holder gives it back earlier. Change: after a claim that fails because another holds the duty, the next one is 500 ms later.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionDuty.java
@@ -30,6 +30,9 @@
   // Gives the instance before in rank the time to claim and order.
   private static final long RANK_NANOS = 400_000_000L;
 
+  // A holder that dies leaves the duty to its lease, which takes far longer to end than this.
+  private static final long CLAIM_AGAIN_NANOS = 500_000_000L;
+
   private final EventLoop loop;
   private final KeyValueStore store;
   private final PromotionOrders orders;
@@ -42,6 +45,7 @@
   private final String self;
   private final PrimaryJudge judge = new PrimaryJudge(DEAD_AFTER_MS, AGREE_AFTER_MS);
   private final Map<String, Long> neededSinceNanos = new HashMap<>();
+  private final Map<String, Long> claimAgainNanos = new HashMap<>();
   private final Map<String, PromotionRun> runs = new HashMap<>();
 
   PromotionDuty(
@@ -83,6 +87,9 @@
       PromotionRun run = runs.get(group.name());
       if (run != null && run.ended()) {
         runs.remove(group.name());
+        if (run.held()) {
+          claimAgainNanos.put(group.name(), nowNanos + CLAIM_AGAIN_NANOS);
+        }
       }
       Verdict verdict = judge(group);
       if (verdict == Verdict.ABSENT && !storeSettled) {
@@ -110,7 +117,9 @@
     if (verdict == Verdict.ABSENT) {
       waitNanos += ABSENT_AFTER_NANOS;
     }
-    if (nowNanos - sinceNanos < waitNanos) {
+    Long againNanos = claimAgainNanos.get(group.name());
+    boolean held = againNanos != null && nowNanos - againNanos < 0;
+    if (held || nowNanos - sinceNanos < waitNanos) {
       return;
     }
     Logger.info(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
@@ -58,6 +58,7 @@
   private TargetState chosen;
   private long surveyStartedNanos;
   private int pendingReports;
+  private boolean heldByAnother;
   private boolean ended;
 
   PromotionRun(
@@ -85,6 +86,11 @@
     return ended;
   }
 
+  /** Returns whether it ended because another instance holds the duty. */
+  boolean held() {
+    return heldByAnother;
+  }
+
   void start() {
     store.grantLease(
         LEASE_MS,
@@ -113,6 +119,7 @@
       return;
     }
     if (done.status() != Status.OK) {
+      heldByAnother = done.status() == Status.CONFLICT;
       end("not claimed: " + done.status());
       return;
     }
