Open few connections just after a start

Change: for 2.2 s after its start an instance holds only its part of the reserve that HomePlan leaves free.

--- a/core/src/main/java/io/hickorydrift/core/placement/HomePlan.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/HomePlan.java
@@ -78,4 +78,20 @@
     boolean large = serving || ranked(group).get(0).equals(id);
     return Math.max(1, (int) (maxConnections * (large ? USED_PART : STANDBY_PART)));
   }
+
+  /**
+   * Returns how many connections to each target {@code id} may hold just after its start, while
+   * targets may still count those of its life before. Load pattern: all instances lose power at
+   * once, and whoever comes back finds targets full of dead connections.
+   */
+  public int connectionsAtStart(String group, int maxConnections, String id) {
+    if (direct(maxConnections)) {
+      return Math.max(1, (int) (maxConnections * (1 - USED_PART) / fleetSize));
+    }
+    boolean home = ranked(group).get(0).equals(id);
+    int dead = (int) (maxConnections * USED_PART);
+    dead += (RANKS - 1) * Math.max(1, (int) (maxConnections * STANDBY_PART));
+    int left = maxConnections - dead - (RANKS - 1);
+    return home ? Math.max(1, left) : 1;
+  }
 }
--- a/core/src/test/java/io/hickorydrift/core/placement/HomePlanTest.java
+++ b/core/src/test/java/io/hickorydrift/core/placement/HomePlanTest.java
@@ -32,6 +32,23 @@
     assertThat(plan.connections("g", 22, "gw-3", true) * 7).isLessThanOrEqualTo(22);
   }
 
+  @ParameterizedTest
+  @CsvSource({"7, 22", "7, 30", "86, 60", "71, 160"})
+  void thoseThatComeBackFindRoomBesideDeadConnections(int instances, int connections) {
+    HomePlan plan = new HomePlan(members(instances, 1));
+    int dead = 0;
+    int opened = 0;
+    for (Member member : members(instances, 1)) {
+      if (plan.direct(connections) || plan.ranked("g").contains(member.id())) {
+        boolean home = plan.ranked("g").get(0).equals(member.id());
+        dead += plan.connections("g", connections, member.id(), home);
+        opened += plan.connectionsAtStart("g", connections, member.id());
+      }
+    }
+    assertThat(opened).isPositive();
+    assertThat(dead + opened).isLessThanOrEqualTo(connections);
+  }
+
   @Test
   void membersWithoutWeightAreTakenOnlyIfAllHaveNone() {
     List<Member> mixed = members(20, 0);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Homes.java
@@ -19,11 +19,14 @@
   // The home, and who stands in for it until its entry has lapsed.
   private static final int COUNTING_RANKS = 2;
   private static final long SERVING_NANOS = 5_000_000_000L;
+  // Targets drop connections of callers that lost power after 3 s; a start takes about one of them.
+  private static final long START_NANOS = 2_200_000_000L;
 
   private final EventLoop loop;
   private final Declarations declarations;
   private final Fleet fleet;
   private final String self;
+  private final long startedNanos;
   private final Map<String, Long> servedNanos = new HashMap<>();
   private Peers peers;
   private HomePlan plan;
@@ -34,6 +37,7 @@
     this.declarations = declarations;
     this.fleet = fleet;
     this.self = self;
+    startedNanos = loop.nowNanos();
   }
 
   void start(Peers links) {
@@ -129,6 +133,9 @@
 
   /** Returns how many connections to each target of {@code group} this instance may hold. */
   int connections(String group) {
+    if (loop.nowNanos() - startedNanos < START_NANOS) {
+      return plan().connectionsAtStart(group, maxConnections(group), self);
+    }
     Long last = servedNanos.get(group);
     boolean serving = last != null && loop.nowNanos() - last < SERVING_NANOS;
     return plan().connections(group, maxConnections(group), self, serving);
