Close busy sessions between two requests when stopping

Ruled out: rates at a stopping instance (GatewayTest.stoppingInstanceRefusesNothing..., green from the start). Change: from half of the grace on, a session is closed right after an answer outside a transaction.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -34,6 +34,7 @@
   private SessionState state = SessionState.IDLE;
   private OpenTransaction transaction;
   private boolean running;
+  private boolean leaving;
   private long receivedNanos;
   private long answeredNanos;
 
@@ -337,6 +338,15 @@
       context.callerCodec().failure(channel.out(), outcome.failure(), outcome.reason());
     }
     context.callerCodec().ready(channel.out(), state, outcome.position());
+    if (leaving && state == SessionState.IDLE && waiting.isEmpty()) {
+      channel.closeAfterFlush();
+      ended();
+    }
+  }
+
+  /** Closes with the next answer outside a transaction, before another request is taken. */
+  void leaveAfterAnswer() {
+    leaving = true;
   }
 
   private void count(Outcome outcome) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -203,7 +203,10 @@
     }
   }
 
-  /** Closes sessions as they fall quiet; what is still open near the end is cut. */
+  /**
+   * Closes sessions as they fall quiet, from half of the time on also right after an answer; what
+   * is still under way near the end is cut.
+   */
   private void leave(long nowNanos) {
     long stoppingMs = (nowNanos - stoppingNanos) / NANOS_PER_MS;
     if (stoppingMs < NOTICE_MS) {
@@ -215,6 +218,7 @@
     for (CallerSession session : List.copyOf(sessions)) {
       if (half) {
         session.abandonIdleTransaction();
+        session.leaveAfterAnswer();
       }
       if (last || session.quietSince(nowNanos - QUIET_NANOS) && closed < CLOSES_A_TICK) {
         session.end("instance stops");
