--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -289,16 +289,7 @@
   }
 
   private void refuse(Statement statement, Admission admission) {
-    context
-        .log()
-        .decided(
-            statement.id(),
-            "decision=refused organisation={} code={} reason=\"{}\" version={} proof_age_ms={}",
-            admission.organisation(),
-            admission.refusal(),
-            admission.reason(),
-            context.declarations().current().version(),
-            context.declarations().proofAgeMs());
+    context.log().refused(statement.id(), admission, context.declarations());
     answer(Outcome.failed(admission.refusal(), admission.reason(), state));
   }
 
@@ -308,15 +299,7 @@
       return;
     }
     if (outcome.failure() != null) {
-      context
-          .log()
-          .decided(
-              statement.id(),
-              "decision=failed kind={} code={} reason=\"{}\" after_ms={}",
-              statement.kind(),
-              outcome.failure(),
-              outcome.reason(),
-              TimeUnit.NANOSECONDS.toMillis(context.loop().nowNanos() - receivedNanos));
+      context.log().failed(statement, outcome, context.loop().nowNanos() - receivedNanos);
     }
     if (outcome.state() != SessionState.IN_TRANSACTION) {
       dropTransaction();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
@@ -1,6 +1,8 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -31,6 +33,29 @@
     Logger.info("event=request id=" + id + " " + format, values);
   }
 
+  /** A request is refused before anything of it ran. */
+  void refused(String id, Admission admission, Declarations declarations) {
+    decided(
+        id,
+        "decision=refused organisation={} code={} reason=\"{}\" version={} proof_age_ms={}",
+        admission.organisation(),
+        admission.refusal(),
+        admission.reason(),
+        declarations.current().version(),
+        declarations.proofAgeMs());
+  }
+
+  /** A request ended without success after {@code nanos}. */
+  void failed(Statement statement, Outcome outcome, long nanos) {
+    decided(
+        statement.id(),
+        "decision=failed kind={} code={} reason=\"{}\" after_ms={}",
+        statement.kind(),
+        outcome.failure(),
+        outcome.reason(),
+        TimeUnit.NANOSECONDS.toMillis(nanos));
+  }
+
   private boolean room() {
     long nowNanos = loop.nowNanos();
     if (nowNanos - secondNanos > SECOND_NANOS) {
