--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Confirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Confirmations.java
@@ -4,8 +4,6 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
-import io.hickorydrift.core.statement.TargetCommand;
-import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -85,12 +83,10 @@
         new TargetPool.Waiter() {
           @Override
           public void granted(TargetConnection connection) {
-            connection.run(
-                new TargetCommand.Report(),
+            pools.report(
+                connection,
                 untilNanos,
-                reply -> {
-                  pool.release(connection);
-                  TargetReport report = pools.report(reply);
+                report -> {
                   if (report != null) {
                     replica.reported(report.received());
                   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -4,9 +4,12 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.CallerCodec;
+import java.util.function.Consumer;
 
 /**
  * What sessions share.
@@ -25,6 +28,7 @@
     Metrics metrics,
     Homes homes,
     Confirmations confirmations) {
+  private static final String UNCONFIRMED = "no replica has shown the commit in time";
 
   /** Returns the connections to {@code target}. */
   TargetPool pool(TargetState target) {
@@ -37,4 +41,30 @@
       group.sightings().add(reply.position(), reply.sentNanos());
     }
   }
+
+  /**
+   * Takes in a write or commit that the primary has carried out, and gives its outcome once it may
+   * be acknowledged or its deadline is over.
+   */
+  void acknowledge(
+      Reply reply,
+      String group,
+      String organisation,
+      SessionData session,
+      long deadlineNanos,
+      Consumer<Outcome> onOutcome) {
+    GroupState state = directory.group(group);
+    sighted(state, reply);
+    session.committed(group, reply.position());
+    confirmations.await(
+        state,
+        organisation,
+        reply.position(),
+        deadlineNanos,
+        confirmed ->
+            onOutcome.accept(
+                confirmed
+                    ? Outcome.of(reply, SessionState.IDLE)
+                    : Outcome.failed(FailureCode.IN_DOUBT, UNCONFIRMED, SessionState.IDLE)));
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Pools.java
@@ -1,12 +1,14 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.TargetCommand;
 import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.TargetCodec;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * This instance's connections to all targets, within its part of what a target allows to the fleet.
@@ -31,9 +33,19 @@
         target, key -> new TargetPool(loop, codec, target, () -> budget(target)));
   }
 
-  /** Returns the report in {@code reply}, or null. */
-  TargetReport report(Reply reply) {
-    return reply.ok() && !reply.rows().isEmpty() ? codec.report(reply.rows().get(0)) : null;
+  /**
+   * Asks for a target's report on {@code connection} and gives the connection back. {@code
+   * onReport} gets null if there is none in time.
+   */
+  void report(TargetConnection connection, long untilNanos, Consumer<TargetReport> onReport) {
+    connection.run(
+        new TargetCommand.Report(),
+        untilNanos,
+        reply -> {
+          of(connection.target()).release(connection);
+          boolean reported = reply.ok() && !reply.rows().isEmpty();
+          onReport.accept(reported ? codec.report(reply.rows().get(0)) : null);
+        });
   }
 
   private int budget(TargetState target) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRun.java
@@ -6,8 +6,6 @@
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.promotion.Candidates;
 import io.hickorydrift.core.promotion.Verdict;
-import io.hickorydrift.core.statement.TargetCommand;
-import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Condition;
@@ -169,12 +167,10 @@
         new TargetPool.Waiter() {
           @Override
           public void granted(TargetConnection connection) {
-            connection.run(
-                new TargetCommand.Report(),
+            pools.report(
+                connection,
                 untilNanos,
-                reply -> {
-                  pool.release(connection);
-                  TargetReport report = pools.report(reply);
+                report -> {
                   if (report != null && report.received() != null) {
                     received.put(target, report.received());
                   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Transaction.java
@@ -1,7 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Route;
-import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.FailureCode;
@@ -165,17 +164,7 @@
     if (reply.ok()) {
       finish();
       if (wrote) {
-        GroupState group = context.directory().group(route.group());
-        context.sighted(group, reply);
-        session.committed(route.group(), reply.position());
-        context
-            .confirmations()
-            .await(
-                group,
-                organisation,
-                reply.position(),
-                deadlineNanos,
-                confirmed -> acknowledge(reply, confirmed));
+        context.acknowledge(reply, route.group(), organisation, session, deadlineNanos, this::end);
       } else {
         end(Outcome.of(reply, SessionState.IDLE));
       }
@@ -199,15 +188,6 @@
     end(Outcome.failed(code, reply.text(), SessionState.IDLE));
   }
 
-  private void acknowledge(Reply reply, boolean confirmed) {
-    if (confirmed) {
-      end(Outcome.of(reply, SessionState.IDLE));
-    } else {
-      String reason = "no replica has shown the commit in time";
-      end(Outcome.failed(FailureCode.IN_DOUBT, reason, SessionState.IDLE));
-    }
-  }
-
   private void logFailure(Reply reply) {
     context
         .log()
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteRun.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteRun.java
@@ -1,7 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Route;
-import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.FailureCode;
@@ -85,17 +84,7 @@
 
   private void answered(TargetState target, Reply reply) {
     if (reply.ok()) {
-      GroupState group = context.directory().group(route.group());
-      context.sighted(group, reply);
-      session.committed(route.group(), reply.position());
-      context
-          .confirmations()
-          .await(
-              group,
-              organisation,
-              reply.position(),
-              deadlineNanos,
-              confirmed -> acknowledge(reply, confirmed));
+      context.acknowledge(reply, route.group(), organisation, session, deadlineNanos, onOutcome);
       return;
     }
     context
@@ -115,14 +104,6 @@
     }
   }
 
-  private void acknowledge(Reply reply, boolean confirmed) {
-    if (confirmed) {
-      onOutcome.accept(Outcome.of(reply, SessionState.IDLE));
-    } else {
-      end(FailureCode.IN_DOUBT, "no replica has shown the commit in time");
-    }
-  }
-
   private void end(FailureCode code, String reason) {
     onOutcome.accept(Outcome.failed(code, reason, SessionState.IDLE));
   }
