Wait for an attempt that may be under way before replacing an unknown primary

At a start no target has answered yet, and just after another observer's fence the new primary is not promoted yet; each such observer then promoted in a term of its own. Now an unknown primary counts as suspected only after the time that an attempt may take.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
@@ -36,6 +36,7 @@
   private long detectorTerm;
   private long nextProbeNanos = Long.MIN_VALUE;
   private long suspectedSinceNanos;
+  private long primaryUnknownSinceNanos = Long.MIN_VALUE;
   private boolean suspectsPrimary;
   private boolean reservationPending;
   private boolean inUse = true;
@@ -175,6 +176,7 @@
     }
     detectorTerm = view.term();
     detector.reset();
+    primaryUnknownSinceNanos = Long.MIN_VALUE;
     suspectsPrimary = false;
     suspectedAtNanos.clear();
     if (promotion != null && promotion.term() < detectorTerm) {
@@ -209,7 +211,8 @@
   }
 
   private void updateSuspicion(long nowNanos, List<FailoverAction> actions) {
-    boolean suspects = detector.suspectsPrimary() || view.primary() == null || primaryIsLeaving();
+    boolean suspects =
+        detector.suspectsPrimary() || primaryStaysUnknown(nowNanos) || primaryIsLeaving();
     if (suspects && !suspectsPrimary) {
       suspectedSinceNanos = nowNanos;
     }
@@ -229,6 +232,22 @@
     }
   }
 
+  /**
+   * Returns whether no primary of the current term has become known for as long as an attempt may
+   * take. Until then another observer may be about to promote one, or this one has just started and
+   * the targets' first answers are on their way.
+   */
+  private boolean primaryStaysUnknown(long nowNanos) {
+    if (view.primary() != null) {
+      primaryUnknownSinceNanos = Long.MIN_VALUE;
+      return false;
+    }
+    if (primaryUnknownSinceNanos == Long.MIN_VALUE) {
+      primaryUnknownSinceNanos = nowNanos;
+    }
+    return nowNanos - primaryUnknownSinceNanos >= settings.attemptTimeoutNanos();
+  }
+
   private boolean primaryIsLeaving() {
     TargetView primary = view.target(view.primary());
     if (primary == null || !primary.leaving()) {
--- a/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
+++ b/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.message.Suspicion;
 import io.hickorydrift.core.message.TargetAnswer;
 import io.hickorydrift.core.message.TargetStatus;
@@ -57,6 +58,41 @@
     assertThat(probes(machine.onSuspicion(suspicion(TERM), 1_100 * MS))).isEmpty();
   }
 
+  private static boolean promotes(List<FailoverAction> actions) {
+    return actions.stream().anyMatch(action -> action instanceof FailoverAction.Fence);
+  }
+
+  /** Answers of all targets, in a term without a primary. */
+  private static FailoverStateMachine observerWithoutKnownPrimary(GroupView group) {
+    FailoverStateMachine observer =
+        new FailoverStateMachine("self", "d-1", group, FailoverSettings.STANDARD);
+    observer.setObservers(List.of("self"));
+    observer.onTermReserved(7);
+    return observer;
+  }
+
+  @Test
+  void unknownPrimaryIsNotReplacedWhileAnotherAttemptMayBeUnderWay() {
+    GroupView started = new GroupView("g", List.of("a", "b", "c"));
+    FailoverStateMachine observer = observerWithoutKnownPrimary(started);
+    long timeoutNanos = FailoverSettings.STANDARD.attemptTimeoutNanos();
+    for (long nowNanos = 0; nowNanos <= timeoutNanos + 100 * MS; nowNanos += 50 * MS) {
+      for (String target : List.of("a", "b", "c")) {
+        Position start = new Position(0, 0);
+        TargetAnswer answer =
+            TargetAnswer.builder()
+                .status(TargetStatus.OK)
+                .term(1)
+                .applied(start)
+                .logged(start)
+                .build();
+        started.recordAnswer(target, answer, nowNanos);
+      }
+      boolean promotes = promotes(observer.tick(nowNanos));
+      assertThat(promotes).as("after %d ns", nowNanos).isEqualTo(nowNanos == timeoutNanos);
+    }
+  }
+
   @Test
   void suspicionOfAnotherTermTriggersNoProbe() {
     assertThat(probes(machine.onSuspicion(suspicion(TERM - 1), 1_000 * MS))).isEmpty();
