Count a refused link before its socket is closed

Cause of the KNOWN-RED entry of PeerLinkTest: try-with-resources closes the socket before the catch block counts, so that whoever saw the socket closed could read 0. Links above the maximum are counted and logged as well.

--- a/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/peer/PeerServer.java
@@ -67,6 +67,8 @@
       try {
         Socket socket = server.accept();
         if (links.size() >= MAX_LINKS) {
+          refusedLinks.incrementAndGet();
+          Logger.warn("event=peer_refused reason=\"more than {} links\"", MAX_LINKS);
           socket.close();
           continue;
         }
@@ -85,6 +87,16 @@
 
   private void receiveMessages(Socket socket) {
     try (socket) {
+      receiveMessagesUntilRefused(socket);
+    } catch (IOException e) {
+      Logger.debug("event=peer_link_ended reason={}", e.getMessage());
+    } finally {
+      links.remove(socket);
+    }
+  }
+
+  private void receiveMessagesUntilRefused(Socket socket) throws IOException {
+    try {
       socket.setTcpNoDelay(true);
       socket.setSoTimeout(HANDSHAKE_TIMEOUT_MS);
       DataInputStream in =
@@ -100,12 +112,9 @@
         }
       }
     } catch (PeerException e) {
+      // Counted before the socket is closed, so that whoever sees it closed also sees the count.
       refusedLinks.incrementAndGet();
       Logger.warn("event=peer_refused reason={}", e.getMessage());
-    } catch (IOException e) {
-      Logger.debug("event=peer_link_ended reason={}", e.getMessage());
-    } finally {
-      links.remove(socket);
     }
   }
 
