Close connections with early requests, and scan long messages once

Three faults named by reading, and what their tests need: - A request that arrives before the response to the last one was handled; its response could be taken for the earlier one's. The connection is closed now. Before: the test's connection stays open. - Each piece of a long message was copied and scanned from its start: quadratic in pieces. A handler now tells whether a piece may end a message; the rest is appended to a buffer that doubles. Before: the message of 200 pieces is offered for each of them (test red). - An Error such as a stack overflow in one callback ended the process; the loop now logs it and goes on. - EventLoop can run on a time that a test advances (ManualTime), and counts its timers.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
@@ -13,6 +13,15 @@
    */
   void received(ByteBuffer in);
 
+  /**
+   * Returns whether {@code chunk}, received after the beginning of a message, may contain the
+   * message's end. If not, it is kept and {@link #received} is not called yet, so that a message
+   * that arrives in many pieces is not scanned from its start for each of them.
+   */
+  default boolean mayCompleteMessage(ByteBuffer chunk) {
+    return true;
+  }
+
   /**
    * Called once when the connection fails or the remote end closes it; not called if this side
    * does.
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -54,7 +54,7 @@
   }
 
   private final Selector selector;
-  private final SteadyClock clock = new SteadyClock();
+  private final SteadyClock clock;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final Queue<Runnable> postedActions = new ConcurrentLinkedQueue<>();
   private final List<TcpChannel> unflushedChannels = new ArrayList<>();
@@ -64,6 +64,16 @@
 
   /** Opens the selector. */
   public EventLoop() {
+    this(new SteadyClock());
+  }
+
+  /** Opens the selector of an event loop whose timers follow {@code time}. */
+  public EventLoop(ManualTime time) {
+    this(new SteadyClock(time::nowNanos, time::timeOfDayMs));
+  }
+
+  private EventLoop(SteadyClock clock) {
+    this.clock = clock;
     try {
       selector = Selector.open();
     } catch (IOException e) {
@@ -124,21 +134,35 @@
   /** Runs until stopped, or until {@code condition} does not hold after an iteration. */
   public void runWhile(BooleanSupplier condition) throws IOException {
     while (!stopped && condition.getAsBoolean()) {
-      flush();
-      selector.select(this::dispatch, selectTimeoutMs());
-      clock.refresh();
-      runPosted();
-      runTimers();
+      runOnce(selectTimeoutMs());
     }
     flush();
   }
 
+  /**
+   * Runs one iteration, which waits up to {@code maxWaitMs} for network events. Returns whether
+   * there was any.
+   */
+  public boolean runOnce(long maxWaitMs) throws IOException {
+    flush();
+    int events = selector.select(this::dispatch, Math.max(1, maxWaitMs));
+    clock.refresh();
+    runPosted();
+    runTimers();
+    return events > 0;
+  }
+
+  /** Returns the number of timers that have not fired, including cancelled ones. */
+  public int timerCount() {
+    return timers.size();
+  }
+
   private long selectTimeoutMs() {
     Timer next = timers.peek();
     if (next == null) {
       return MAX_SELECT_MS;
     }
-    long waitNanos = next.dueNanos - System.nanoTime();
+    long waitNanos = next.dueNanos - clock.readNanos();
     long waitMs = TimeUnit.NANOSECONDS.toMillis(waitNanos) + 1;
     return Math.max(1, Math.min(MAX_SELECT_MS, waitMs));
   }
@@ -147,11 +171,11 @@
     SelectionHandler handler = (SelectionHandler) key.attachment();
     try {
       handler.ready(key);
-    } catch (IOException | RuntimeException e) {
-      if (!(e instanceof IOException)) {
-        Logger.error(e, "event=callback_failed");
-      }
+    } catch (IOException e) {
       runGuarded(() -> handler.failed(e));
+    } catch (RuntimeException | StackOverflowError e) {
+      Logger.error(e, "event=callback_failed");
+      runGuarded(() -> handler.failed(new IOException("internal error", e)));
     }
   }
 
@@ -173,7 +197,8 @@
   private static void runGuarded(Runnable action) {
     try {
       action.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
+      // An error in one callback must not end the process, which serves all other sessions.
       Logger.error(e, "event=callback_failed");
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpExchange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpExchange.java
@@ -60,6 +60,11 @@
         .octets(bytes);
   }
 
+  /** Returns whether the request was answered or its connection closed. */
+  boolean isEnded() {
+    return responded || channel.isClosed();
+  }
+
   /** Closes the connection without a response. */
   public void abort() {
     responded = true;
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpServerConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpServerConnection.java
@@ -9,10 +9,12 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
+import org.tinylog.Logger;
 
 /**
- * Receives HTTP requests on one connection, with Jetty's parser on the event loop's thread. Request
- * pipelining is not supported: a client must wait for each response before its next request.
+ * Receives HTTP requests on one connection, with Jetty's parser on the event loop's thread. A
+ * client must wait for each response before its next request; a request that arrives earlier closes
+ * the connection, since its response could be taken for that of the request before.
  *
  * <p>Thread safety: confined to the event loop's thread.
  */
@@ -26,6 +28,7 @@
   private String method = "";
   private String path = "";
   private byte[] body = new byte[0];
+  private HttpExchange current;
 
   /** Receives requests on {@code channel}. */
   public HttpServerConnection(TcpChannel channel, Consumer<HttpExchange> onRequest) {
@@ -88,7 +91,13 @@
 
   @Override
   public boolean messageComplete() {
-    onRequest.accept(new HttpExchange(channel, method, path, Map.copyOf(headers), body));
+    if (current != null && !current.isEnded()) {
+      Logger.warn("event=http_request_rejected reason=\"request before the last response\"");
+      channel.close();
+      return true;
+    }
+    current = new HttpExchange(channel, method, path, Map.copyOf(headers), body);
+    onRequest.accept(current);
     return true;
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
@@ -40,6 +40,11 @@
     return nowNanos;
   }
 
+  /** Returns the monotonic time now, without checking for a pause. */
+  long readNanos() {
+    return monotonicNanos.getAsLong();
+  }
+
   /** Calls {@code listener} whenever the process may have been suspended. */
   public void onClockPause(Runnable listener) {
     pauseListeners.add(listener);
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -17,8 +17,9 @@
 public final class TcpChannel implements EventLoop.SelectionHandler {
   // Bounds the memory spent on a remote end that does not read.
   private static final int MAX_PENDING_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_MESSAGE_BYTES = 1 << 20;
   // One message and the beginning of the next.
-  private static final int MAX_UNREAD_BYTES = (1 << 20) + 64 * 1024;
+  private static final int MAX_UNREAD_BYTES = MAX_MESSAGE_BYTES + 64 * 1024;
   private static final long LINGERING_CLOSE_MS = 300;
 
   private final EventLoop loop;
@@ -26,7 +27,9 @@
   private final OutBuffer out = new OutBuffer();
   private ChannelHandler handler;
   private SelectionKey key;
-  private byte[] unread;
+  // Bytes received of a message that is not complete yet; grows by doubling, so that a message that
+  // arrives in many pieces is copied a constant number of times.
+  private ByteBuffer unread;
   private boolean flushScheduled;
   private boolean closed;
   private boolean closeWhenFlushed;
@@ -163,6 +166,12 @@
     }
     loop.clock().refresh();
     buffer.flip();
+    if (unread != null
+        && unread.position() + buffer.remaining() <= MAX_MESSAGE_BYTES
+        && !handler.mayCompleteMessage(buffer.duplicate())) {
+      appendUnread(buffer);
+      return;
+    }
     ByteBuffer in = prependUnread(buffer);
     handler.received(in);
     if (closed) {
@@ -175,12 +184,20 @@
     if (unread == null) {
       return buffer;
     }
-    ByteBuffer joined = ByteBuffer.allocate(unread.length + buffer.remaining());
-    joined.put(unread).put(buffer).flip();
+    appendUnread(buffer);
+    ByteBuffer joined = unread.flip();
     unread = null;
     return joined;
   }
 
+  private void appendUnread(ByteBuffer buffer) {
+    int needed = unread.position() + buffer.remaining();
+    if (needed > unread.capacity()) {
+      unread = ByteBuffer.allocate(Math.max(needed, 2 * unread.capacity())).put(unread.flip());
+    }
+    unread.put(buffer);
+  }
+
   private void saveUnread(ByteBuffer in) {
     if (!in.hasRemaining()) {
       return;
@@ -189,8 +206,7 @@
       failed(new IOException("message too large"));
       return;
     }
-    unread = new byte[in.remaining()];
-    in.get(unread);
+    unread = ByteBuffer.allocate(in.remaining()).put(in);
   }
 
   void flush() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/CallerCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/CallerCodec.java
@@ -12,6 +12,11 @@
   /** Reads the next message from {@code in}; returns null if the message is incomplete. */
   CallerMessage decode(ByteBuffer in);
 
+  /**
+   * Returns whether {@code received} may contain the end of a message; false only if it does not.
+   */
+  boolean mayCompleteMessage(ByteBuffer received);
+
   /** Writes one row of a result set. */
   void writeRow(OutBuffer out, String row);
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/TargetCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/TargetCodec.java
@@ -17,6 +17,11 @@
   /** Reads the next message from {@code in}; returns null if the message is incomplete. */
   TargetMessage decode(ByteBuffer in);
 
+  /**
+   * Returns whether {@code received} may contain the end of a message; false only if it does not.
+   */
+  boolean mayCompleteMessage(ByteBuffer received);
+
   /** Decodes the result row of {@link TargetCommand.Report}; returns null if it is malformed. */
   TargetReport decodeReport(String row);
 }
