Keep one survey of replicas and one registration under way

Causes: - Out of memory, heap full of timers: each survey of replicas was ended both by its timeout and by its last report, and both began the next one, so that the number of surveys doubled each round while no replica answered. A survey (PositionSurvey) now concludes once. The count of reports was shared by all surveys, so that late reports of one lowered the count of the next; each has its own now. One registration is current now. Looked for elsewhere: every() arms its next timer after the last run only; forwards and hedges arm one each.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.placement.HomePlan;
+import io.hickorydrift.core.relay.RelayRanking;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -11,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -21,31 +23,44 @@
  * Tracks the live instances: each registers itself with a store entry that is bound to its own
  * lease.
  *
- * <p>Thread safety: confined to the loop's thread.
+ * <p>Invariant: one registration is current; only its lease is renewed, and the lease of an earlier
+ * one is revoked. Thread safety: confined to the loop's thread.
  */
 final class FleetMembership {
   private static final String KEY_PREFIX = "fleet/";
-  private static final long LEASE_TTL_MS = 6_000;
-  private static final long LEASE_RENEWAL_MS = 2_000;
+  // Longer than the proof that lets an instance use its parts of rates, so that no part is taken
+  // over while it may still be in use.
+  private static final long LEASE_TTL_MS = 8_000;
+  private static final long LEASE_RENEWAL_MS = 3_500;
   private static final long RETRY_MS = 400;
+  private static final long MAX_RETRY_MS = 1_600;
 
   private final EventLoop loop;
   private final KeyValueStore store;
   private final String instance;
-  private final String address;
-  private final double weight;
-  private final Map<String, String> members = new HashMap<>();
+  private final FleetEntry own;
+  private final Map<String, FleetEntry> members = new HashMap<>();
   private long changeCount;
   private long lease;
+  private long registration;
+  private boolean registered;
+  private long ownEntryRevision;
+  private long retryMs = RETRY_MS;
+  private List<String> relayCandidates = List.of();
+  private long rankedChangeCount = -1;
+  private boolean rankedWhileLeaving;
   private boolean leaving;
 
-  FleetMembership(
-      EventLoop loop, KeyValueStore store, String instance, String address, double weight) {
-    this.weight = weight;
+  FleetMembership(EventLoop loop, KeyValueStore store, String instance, FleetEntry own) {
     this.loop = loop;
     this.store = store;
     this.instance = instance;
-    this.address = address;
+    this.own = own;
+  }
+
+  /** Returns the prefix of the keys of all entries. */
+  static String keyPrefix() {
+    return KEY_PREFIX;
   }
 
   boolean ownsKey(String key) {
@@ -60,20 +75,48 @@
   /** Returns the live instances with their weights. */
   List<HomePlan.Member> members() {
     List<HomePlan.Member> all = new ArrayList<>();
-    members.forEach((id, entry) -> all.add(new HomePlan.Member(id, weight(entry))));
+    members.forEach((id, entry) -> all.add(new HomePlan.Member(id, entry.weight())));
     if (all.isEmpty()) {
       all.add(new HomePlan.Member(instance, 1));
     }
     return all;
   }
 
-  private static double weight(String entry) {
-    try {
-      return Double.parseDouble(entry.substring(entry.indexOf(' ') + 1));
-    } catch (NumberFormatException e) {
-      Logger.warn("event=fleet_entry_unreadable entry=\"{}\"", entry);
-      return 0;
+  /**
+   * Returns the candidates for the relay of the own failure domain, in order of rank. This instance
+   * counts as a member even before it is registered.
+   */
+  List<String> relayCandidates() {
+    if (rankedChangeCount != changeCount || rankedWhileLeaving != leaving) {
+      rankedChangeCount = changeCount;
+      rankedWhileLeaving = leaving;
+      relayCandidates = relayCandidates(own.failureDomain());
     }
+    return relayCandidates;
+  }
+
+  /** Returns the first candidate for the relay of each other failure domain. */
+  Set<String> relaysOfOtherDomains() {
+    Set<String> domains = new HashSet<>();
+    members.values().forEach(entry -> domains.add(entry.failureDomain()));
+    domains.remove(own.failureDomain());
+    Set<String> relays = new HashSet<>();
+    domains.forEach(domain -> relays.add(relayCandidates(domain).get(0)));
+    return relays;
+  }
+
+  private List<String> relayCandidates(String failureDomain) {
+    List<RelayRanking.Member> inDomain = new ArrayList<>();
+    members.forEach(
+        (id, entry) -> {
+          if (entry.failureDomain().equals(failureDomain) && !id.equals(instance)) {
+            inDomain.add(new RelayRanking.Member(id, entry.weight()));
+          }
+        });
+    if (failureDomain.equals(own.failureDomain()) && !leaving) {
+      inDomain.add(new RelayRanking.Member(instance, own.weight()));
+    }
+    return RelayRanking.of(failureDomain, inDomain);
   }
 
   /** Returns the number of live instances, at least 1. */
@@ -83,23 +126,45 @@
 
   void apply(Item item) {
     String name = item.key().substring(KEY_PREFIX.length());
-    String entry = item.value() == null ? null : new String(item.value(), StandardCharsets.UTF_8);
-    String previous = entry == null ? members.remove(name) : members.put(name, entry);
+    if (name.equals(instance) && item.revision() < ownEntryRevision) {
+      // An event about the entry of an earlier run, or of a lease that has been replaced.
+      return;
+    }
+    FleetEntry entry = decode(item);
+    FleetEntry previous = entry == null ? members.remove(name) : members.put(name, entry);
     if (!Objects.equals(previous, entry)) {
       changeCount++;
       Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
     }
-    if (entry == null && name.equals(instance) && !leaving) {
+    if (entry == null && name.equals(instance) && registered) {
       Logger.warn("event=own_entry_lost instance={}", name);
       join();
     }
   }
 
+  private static FleetEntry decode(Item item) {
+    if (item.value() == null) {
+      return null;
+    }
+    String text = new String(item.value(), StandardCharsets.UTF_8);
+    FleetEntry entry = FleetEntry.decode(text);
+    if (entry == null) {
+      Logger.warn("event=fleet_entry_unreadable key={} entry=\"{}\"", item.key(), text);
+    }
+    return entry;
+  }
+
   /** Returns the ids of all live instances. */
   Set<String> instanceIds() {
     return members.keySet();
   }
 
+  /** Returns whether {@code id} is a member in this instance's failure domain. */
+  boolean isInOwnDomain(String id) {
+    FleetEntry entry = members.get(id);
+    return entry != null && entry.failureDomain().equals(own.failureDomain());
+  }
+
   /** Returns whether this instance has an entry in the store. */
   boolean isMember() {
     return members.containsKey(instance);
@@ -108,7 +173,7 @@
   /** Returns the addresses of the other instances by id. */
   Map<String, String> otherAddresses() {
     Map<String, String> others = new HashMap<>();
-    members.forEach((id, entry) -> others.put(id, entry.split(" ", 2)[0]));
+    members.forEach((id, entry) -> others.put(id, entry.address()));
     others.remove(instance);
     return others;
   }
@@ -119,65 +184,118 @@
     }
   }
 
-  /** Registers this instance under a new lease and keeps renewing the lease. */
+  /**
+   * Registers this instance under a new lease and keeps renewing the lease. Ends an earlier
+   * registration: its lease is revoked and no longer renewed.
+   */
   void join() {
     if (leaving) {
       return;
     }
+    registered = false;
+    long current = ++registration;
+    revokeLease();
+    grantLease(current);
+  }
+
+  private boolean isCurrent(long number) {
+    return number == registration && !leaving;
+  }
+
+  private void grantLease(long number) {
+    if (!isCurrent(number)) {
+      return;
+    }
     store.grantLease(
         LEASE_TTL_MS,
         result -> {
-          if (result.status() == Status.OK) {
+          if (result.status() != Status.OK) {
+            loop.after(nextRetryMs(), () -> grantLease(number));
+          } else if (isCurrent(number)) {
             lease = result.value();
-            writeEntry();
+            writeEntry(number);
           } else {
-            loop.after(RETRY_MS, this::join);
+            revoke(result.value());
           }
         });
   }
 
-  private void writeEntry() {
-    byte[] value = (address + " " + weight).getBytes(StandardCharsets.UTF_8);
+  private void writeEntry(long number) {
+    if (!isCurrent(number)) {
+      return;
+    }
+    byte[] value = own.encode().getBytes(StandardCharsets.UTF_8);
     Write write =
         new Write(List.of(), List.of(new Put(KEY_PREFIX + instance, value, lease)), List.of());
-    store.write(write, this::onEntryWritten);
+    store.write(write, result -> onEntryWritten(number, result));
   }
 
-  private void onEntryWritten(UpdateResult result) {
+  private void onEntryWritten(long number, UpdateResult result) {
+    if (!isCurrent(number)) {
+      return;
+    }
     if (result.status() == Status.OK) {
-      loop.after(LEASE_RENEWAL_MS, this::renewLease);
+      registered = true;
+      retryMs = RETRY_MS;
+      ownEntryRevision = result.value();
+      loop.after(LEASE_RENEWAL_MS, () -> renewLease(number));
+    } else if (result.status() == Status.NOT_FOUND) {
+      loop.after(nextRetryMs(), () -> rejoin(number));
     } else {
-      loop.after(RETRY_MS, result.status() == Status.NOT_FOUND ? this::join : this::writeEntry);
+      loop.after(nextRetryMs(), () -> writeEntry(number));
     }
   }
 
-  private void renewLease() {
-    if (leaving) {
+  /** Returns the delay before the next attempt; it doubles while the store refuses or is away. */
+  private long nextRetryMs() {
+    long delayMs = retryMs;
+    retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
+    return delayMs;
+  }
+
+  private void rejoin(long number) {
+    if (isCurrent(number)) {
+      join();
+    }
+  }
+
+  private void renewLease(long number) {
+    if (!isCurrent(number)) {
       return;
     }
     store.renewLease(
         lease,
         result -> {
           if (result.status() == Status.NOT_FOUND) {
-            join();
+            rejoin(number);
           } else {
-            loop.after(
-                result.status() == Status.OK ? LEASE_RENEWAL_MS : RETRY_MS, this::renewLease);
+            boolean renewed = result.status() == Status.OK;
+            retryMs = renewed ? RETRY_MS : retryMs;
+            loop.after(renewed ? LEASE_RENEWAL_MS : nextRetryMs(), () -> renewLease(number));
           }
         });
   }
 
+  private void revokeLease() {
+    if (lease != KeyValueStore.NO_LEASE) {
+      revoke(lease);
+      lease = KeyValueStore.NO_LEASE;
+    }
+  }
+
+  private void revoke(long granted) {
+    store.revokeLease(
+        granted, result -> Logger.info("event=lease_revoked status={}", result.status()));
+  }
+
   /** Stops renewing the lease, so that this instance's entry expires. */
   void halt() {
     leaving = true;
   }
 
-  /** Ends the lease, which removes this instance's entry. */
+  /** Revokes the lease, which removes this instance's entry. */
   void leave() {
     leaving = true;
-    if (lease != KeyValueStore.NO_LEASE) {
-      store.revokeLease(
-          lease, result -> Logger.info("event=left_fleet status={}", result.status()));
-    }
+    revokeLease();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.promotion.PositionSurvey;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
 import io.hickorydrift.core.promotion.PromotionCandidates;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -15,10 +16,11 @@
 import io.hickorydrift.proxy.port.KeyValueStore.Write;
 import io.hickorydrift.proxy.port.PromotionClient;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -28,7 +30,8 @@
  *
  * <p>Invariant: promotion requests carry the fence of this lease; after a refusal no further
  * request is sent under it. A request without a response may still be carried out, so it is retried
- * only for the same target. Thread safety: confined to the loop's thread.
+ * only for the same target. One survey of the replicas is under way at a time. Thread safety:
+ * confined to the loop's thread.
  */
 final class PromotionAttempt {
   private static final String LEASE_KEY_PREFIX = "duty/promotion/";
@@ -51,12 +54,10 @@
   private final PrimaryVerdict verdict;
   private final long startedNanos;
   private final TargetState oldPrimary;
-  private final Map<TargetState, Position> receivedPositions = new LinkedHashMap<>();
   private long lease;
   private long fence;
   private TargetState chosen;
-  private long surveyStartedNanos;
-  private int pendingReports;
+  private Position chosenPosition;
   private boolean leaseHeldByAnother;
   private boolean ended;
 
@@ -98,6 +99,10 @@
             end("lease not granted: " + result.status());
             return;
           }
+          if (ended) {
+            revoke(result.value());
+            return;
+          }
           lease = result.value();
           acquireLease();
         });
@@ -147,19 +152,31 @@
     if (ended || endIfPrimaryChanged() || endIfTimedOut()) {
       return;
     }
-    surveyStartedNanos = loop.nowNanos();
-    receivedPositions.clear();
-    pendingReports = 0;
-    for (TargetState target : group.targets()) {
-      if (target != oldPrimary) {
-        pendingReports++;
-        queryPosition(target);
-      }
+    List<TargetState> replicas = new ArrayList<>(group.targets());
+    replicas.remove(oldPrimary);
+    PositionSurvey survey = new PositionSurvey(replicas);
+    EventLoop.Timer timeout =
+        loop.after(
+            SURVEY_TIMEOUT_MS,
+            () -> {
+              if (survey.conclude()) {
+                chooseCandidate(survey.received());
+              }
+            });
+    for (TargetState replica : replicas) {
+      queryPosition(
+          replica,
+          position -> {
+            if (survey.report(replica, position)) {
+              timeout.cancel();
+              chooseCandidate(survey.received());
+            }
+          });
     }
-    loop.after(SURVEY_TIMEOUT_MS, this::chooseCandidate);
   }
 
-  private void queryPosition(TargetState target) {
+  /** Queries the position that {@code target} has received; null if it does not report one. */
+  private void queryPosition(TargetState target, Consumer<Position> onPosition) {
     long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(SURVEY_TIMEOUT_MS);
     String organisation =
         declarations.current().organisations().keySet().stream().findFirst().orElse("-");
@@ -171,17 +188,12 @@
             pools.requestReport(
                 connection,
                 deadlineNanos,
-                report -> {
-                  if (report != null && report.received() != null) {
-                    receivedPositions.put(target, report.received());
-                  }
-                  reportCompleted();
-                });
+                report -> onPosition.accept(report == null ? null : report.received()));
           }
 
           @Override
           public void refused(String reason) {
-            reportCompleted();
+            onPosition.accept(null);
           }
         };
     TargetConnection idle = pool.pollIdle();
@@ -192,30 +204,17 @@
     }
   }
 
-  private void reportCompleted() {
-    pendingReports--;
-    if (pendingReports == 0) {
-      chooseCandidate();
-    }
-  }
-
-  private void chooseCandidate() {
-    if (ended || chosen != null || endIfPrimaryChanged() || endIfTimedOut()) {
-      return;
-    }
-    boolean complete =
-        pendingReports <= 0
-            || loop.nowNanos() - surveyStartedNanos
-                >= TimeUnit.MILLISECONDS.toNanos(SURVEY_TIMEOUT_MS);
-    if (!complete) {
+  private void chooseCandidate(Map<TargetState, Position> received) {
+    if (ended || endIfPrimaryChanged() || endIfTimedOut()) {
       return;
     }
-    TargetState candidate = PromotionCandidates.mostAdvanced(receivedPositions);
-    if (candidate == null || !caughtUp(receivedPositions.get(candidate))) {
+    TargetState candidate = PromotionCandidates.mostAdvanced(received);
+    if (candidate == null || !caughtUp(received.get(candidate))) {
       loop.after(POLL_INTERVAL_MS, this::surveyReplicas);
       return;
     }
     chosen = candidate;
+    chosenPosition = received.get(candidate);
     requestPromotion();
   }
 
@@ -240,7 +239,7 @@
         "event=promotion_requested group={} target={} received={} fence={} verdict={} after_ms={}",
         group.name(),
         chosen.entry().id(),
-        receivedPositions.get(chosen),
+        chosenPosition,
         fence,
         verdict,
         elapsedMs(startedNanos));
@@ -307,9 +306,13 @@
         fence,
         elapsedMs(startedNanos));
     if (lease != KeyValueStore.NO_LEASE) {
-      store.revokeLease(
-          lease,
-          result -> Logger.debug("event=promotion_lease_released status={}", result.status()));
+      revoke(lease);
     }
   }
+
+  private void revoke(long grantedLease) {
+    store.revokeLease(
+        grantedLease,
+        result -> Logger.debug("event=promotion_lease_released status={}", result.status()));
+  }
 }
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -0,0 +1,80 @@
+package io.hickorydrift.proxy.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.proxy.net.EventLoop;
+import io.hickorydrift.proxy.net.ManualTime;
+import io.hickorydrift.proxy.port.KeyValueStore.Item;
+import io.hickorydrift.proxy.port.KeyValueStore.Status;
+import io.hickorydrift.proxy.port.KeyValueStore.UpdateResult;
+import java.io.IOException;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the registration of an instance under a lease, when entries and answers are lost. */
+class FleetMembershipTest {
+  private static final String OWN_KEY = "fleet/gw-0";
+  private static final long OBSERVED_MS = 20_000;
+
+  private final ManualTime time = new ManualTime();
+  private final EventLoop loop = new EventLoop(time);
+  private final RecordingStore store = new RecordingStore();
+  private final FleetMembership fleet =
+      new FleetMembership(loop, store, "gw-0", new FleetEntry("127.0.0.1:9", 1, "z"));
+
+  @BeforeEach
+  void join() {
+    store.immediate = true;
+    fleet.join();
+  }
+
+  private void runForMs(long ms) throws IOException {
+    for (long elapsed = 0; elapsed < ms; elapsed += 100) {
+      time.advanceMs(100);
+      loop.runOnce(0);
+    }
+  }
+
+  private void loseOwnEntry() {
+    fleet.apply(new Item(OWN_KEY, null, 1_000));
+  }
+
+  @Test
+  void lostEntryLeavesOneRenewalLoop() throws IOException {
+    runForMs(OBSERVED_MS);
+    final int renewals = store.count("renew");
+    loseOwnEntry();
+    store.calls.clear();
+    runForMs(OBSERVED_MS);
+    assertThat(store.count("renew")).isBetween(renewals - 1, renewals + 1);
+  }
+
+  @Test
+  void lostEntryRevokesTheOldLease() {
+    long oldLease = store.last("write").lease();
+    loseOwnEntry();
+    assertThat(store.last("revoke").lease()).isEqualTo(oldLease);
+    assertThat(store.last("write").lease()).isNotEqualTo(oldLease);
+  }
+
+  @Test
+  void leaseGrantedAfterLeavingIsRevoked() {
+    store.immediate = false;
+    loseOwnEntry();
+    RecordingStore.Call grant = store.last("grant");
+    fleet.leave();
+    store.calls.clear();
+    grant.onResult().accept(new UpdateResult(Status.OK, 77));
+    assertThat(store.last("revoke").lease()).isEqualTo(77);
+    assertThat(store.count("write")).isZero();
+  }
+
+  @Test
+  void removalOfAnEarlierEntryIsIgnored() {
+    int grants = store.count("grant");
+    fleet.apply(new Item(OWN_KEY, "127.0.0.1:9 1 z".getBytes(), 1_001));
+    fleet.apply(new Item(OWN_KEY, null, 1));
+    assertThat(fleet.isMember()).isTrue();
+    assertThat(store.count("grant")).isEqualTo(grants);
+  }
+}
