Refuse hopeless statements at once and do not repeat what an answer ruled out

Causes: - Callers on public routes ran for an organisation without a limit, which the shared limiter refuses. They now have no rate; a quarter of the connections to a target bounds them. An organisation that this instance does not know yet is refused with that reason. - A statement was sent again to a target that answers for another one: the answer now rules the entry out until it changes, at this instance; peers learn of it with the next heartbeat. - CONNECTION_LIMIT and refused connects came in series: a full target is asked again after a second, and all waiting requests learn of an unreachable one at once. - Statements that no target could run were held for 400 ms and then refused, half of an 800 ms deadline. HoldPolicy refuses at once if no usable target is known and none is expected within the hold, which is at most 0.4 of the statement's timeout.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.core.directory;
 
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.Rendezvous;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -18,6 +19,9 @@
   private static final double AVOIDED_COST = 100;
   // Opening a connection takes about as long as a statement.
   private static final double CONNECT_COST = 0.8;
+  // Keeps the reads of an organisation on one replica until that is clearly busier than the others:
+  // spread over all of them, the organisations would need more connections than there are.
+  private static final double OTHER_REPLICA_COST = 0.7;
 
   private final String ownDomain;
 
@@ -28,25 +32,29 @@
 
   /**
    * Returns the target with the lowest cost, that is, the least expected wait, or null if there is
-   * none. Skips draining targets and those in {@code tried}. The target itself checks that it has
-   * applied {@code atLeast}; {@code hasIdleConnection} tests whether a target has an idle
-   * connection.
+   * none. Skips draining and ruled out targets and those in {@code tried}. The target itself checks
+   * that it has applied {@code atLeast}; {@code hasIdleConnection} tests whether a target has an
+   * idle connection of {@code organisation}.
    */
   public TargetState choose(
       GroupState group,
+      String organisation,
       Position atLeast,
       Set<String> tried,
       Predicate<TargetState> hasIdleConnection,
       long nowNanos) {
     TargetState primary = group.primary();
+    TargetState preferred = preferredReplica(group, primary, organisation);
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetState target : group.targets()) {
-      if (target.entry().draining() || tried.contains(target.entry().id())) {
+      boolean usable = !target.entry().draining() && !target.isRuledOut();
+      if (!usable || tried.contains(target.entry().id())) {
         continue;
       }
       double cost = cost(target, target == primary, atLeast, nowNanos);
       cost += hasIdleConnection.test(target) ? 0 : CONNECT_COST;
+      cost += target == preferred || target == primary ? 0 : OTHER_REPLICA_COST;
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -55,6 +63,22 @@
     return best;
   }
 
+  /** Returns the replica that {@code organisation} is assigned to by rendezvous hashing. */
+  private static TargetState preferredReplica(
+      GroupState group, TargetState primary, String organisation) {
+    TargetState preferred = null;
+    double highest = -1;
+    for (TargetState target : group.targets()) {
+      double hash = Rendezvous.unitHash(organisation, target.entry().id());
+      boolean usable = target != primary && !target.entry().draining() && !target.isRuledOut();
+      if (usable && hash > highest) {
+        preferred = target;
+        highest = hash;
+      }
+    }
+    return preferred;
+  }
+
   private double cost(TargetState target, boolean primary, Position atLeast, long nowNanos) {
     double cost = (double) target.outstanding() / Math.max(1, target.entry().slots());
     if (primary) {
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -17,6 +17,7 @@
   private Position applied;
   private Position received;
   private long avoidUntilNanos = Long.MIN_VALUE;
+  private boolean ruledOut;
   private int outstanding;
   private double averageAnswerNanos;
 
@@ -33,6 +34,7 @@
       applied = null;
       received = null;
     }
+    ruledOut &= newer.equals(entry);
     entry = newer;
   }
 
@@ -90,6 +92,19 @@
     return avoidUntilNanos != Long.MIN_VALUE && avoidUntilNanos - nowNanos > 0;
   }
 
+  /**
+   * Records that another process answers at the address of the entry, so that nothing is sent there
+   * until the entry changes.
+   */
+  public void ruleOut() {
+    ruledOut = true;
+  }
+
+  /** Returns whether the entry is known to be wrong. */
+  public boolean isRuledOut() {
+    return ruledOut;
+  }
+
   /** Records that a statement was sent. */
   public void recordSent() {
     outstanding++;
--- a/core/src/main/java/io/hickorydrift/core/promotion/PrimaryRecoveryEstimator.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/PrimaryRecoveryEstimator.java
@@ -49,6 +49,14 @@
     }
   }
 
+  /**
+   * Returns the expected time until a primary is usable, for a caller that has just found the
+   * present one unusable.
+   */
+  public long expectedRecoveryAfterFailureMs(long nowNanos) {
+    return unavailable ? expectedRecoveryMs(nowNanos) : (long) failureRecoveryMs;
+  }
+
   /** Returns the expected time until a primary is usable; 0 if there is one. */
   public long expectedRecoveryMs(long nowNanos) {
     if (!unavailable) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/AdmissionDecision.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/AdmissionDecision.java
@@ -16,7 +16,8 @@
  * @param reason description of a refusal
  */
 record AdmissionDecision(Route route, String organisation, FailureCode refusal, String reason) {
-  private static final String NO_ORGANISATION = "-";
+  /** Stands for the callers without a valid key, which only routes open to all admit. */
+  static final String NO_ORGANISATION = "-";
 
   /**
    * Decides by the declaration in force. A route that requires a key also needs a recent
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -62,6 +62,11 @@
     handleNext();
   }
 
+  @Override
+  public boolean mayCompleteMessage(ByteBuffer received) {
+    return context.callerCodec().mayCompleteMessage(received);
+  }
+
   private void handleNext() {
     while (!running && !queued.isEmpty() && !channel.isClosed()) {
       receivedNanos = context.loop().nowNanos();
@@ -283,14 +288,10 @@
               }
 
               @Override
-              public void refused(long retryAfterMs) {
+              public void refused(String reason) {
                 running = false;
                 if (!channel.isClosed()) {
-                  refuse(
-                      statement,
-                      admission.withRefusal(
-                          FailureCode.BUSY,
-                          "rate limit exceeded; retry in " + retryAfterMs + " ms"));
+                  refuse(statement, admission.withRefusal(FailureCode.BUSY, reason));
                   handleNext();
                 }
               }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -48,7 +48,7 @@
       packer.packString(value.getKey()).packString(value.getValue());
     }
     packPosition(packer, forward.lastCommit());
-    packer.packBoolean(forward.counted());
+    packer.packBoolean(forward.counted()).packLong(forward.ageMs());
   }
 
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
@@ -93,7 +93,8 @@
         preparedStatement,
         values,
         unpackPosition(unpacker),
-        unpacker.unpackBoolean());
+        unpacker.unpackBoolean(),
+        unpacker.unpackLong());
   }
 
   static void packResult(MessagePacker packer, PeerMessage.Result result) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.statement.StatementKind;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -23,7 +24,7 @@
 
   /** Runs a forwarded statement and sends its outcome on {@code link}. */
   void run(InboundPeerLink link, PeerMessage.Forward forward) {
-    long receivedNanos = context.loop().nowNanos();
+    long receivedNanos = context.loop().nowNanos() - ageNanos(forward);
     context.homes().recordServed(forward.route().group());
     Consumer<StatementOutcome> onOutcome =
         outcome -> link.send(new PeerMessage.Result(forward.correlation(), outcome));
@@ -48,16 +49,19 @@
               }
 
               @Override
-              public void refused(long retryAfterMs) {
+              public void refused(String reason) {
                 onOutcome.accept(
-                    StatementOutcome.failed(
-                        FailureCode.BUSY,
-                        "rate limit exceeded; retry in " + retryAfterMs + " ms",
-                        stateAfterRefusal(forward)));
+                    StatementOutcome.failed(FailureCode.BUSY, reason, stateAfterRefusal(forward)));
               }
             });
   }
 
+  /** Returns the age of a statement, within the time that its sender still waits for it. */
+  private static long ageNanos(PeerMessage.Forward forward) {
+    long ageMs = Math.max(0, Math.min(forward.ageMs(), forward.route().statementTimeoutMs()));
+    return TimeUnit.MILLISECONDS.toNanos(ageMs);
+  }
+
   private static SessionState stateAfterRefusal(PeerMessage.Forward forward) {
     boolean inTransaction =
         forward.transaction() != 0 && forward.statement().kind() != StatementKind.COMMIT;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
@@ -27,8 +27,8 @@
   interface Listener {
     void admitted();
 
-    /** Reports that the operation is refused; it may be retried after {@code retryAfterMs}. */
-    void refused(long retryAfterMs);
+    /** Reports that the operation is refused, and when it may be retried. */
+    void refused(String reason);
   }
 
   private final EventLoop loop;
@@ -65,9 +65,20 @@
     loop.every(TICK_MS, () -> apply(sharedLimiter.tick(loop.nowNanos())));
   }
 
-  /** Requests a token for one operation of {@code organisation}. */
+  /**
+   * Requests a token for one operation of {@code organisation}. Callers without a key have no rate:
+   * their share of the connections to a target bounds them ({@link TargetPool}).
+   */
   void request(String organisation, Listener listener) {
     refresh();
+    if (organisation.equals(AdmissionDecision.NO_ORGANISATION)) {
+      listener.admitted();
+      return;
+    }
+    if (!holders.containsKey(organisation)) {
+      listener.refused("organisation not known at this instance yet; retry in 500 ms");
+      return;
+    }
     long ticket = nextTicket++;
     listeners.put(ticket, listener);
     apply(sharedLimiter.acquire(organisation, ticket, loop.nowNanos()));
@@ -134,7 +145,9 @@
       if (action instanceof RateLimitAction.Admit admit) {
         listeners.remove(admit.ticket()).admitted();
       } else if (action instanceof RateLimitAction.Refuse refuse) {
-        listeners.remove(refuse.ticket()).refused(refuse.retryAfterMs());
+        listeners
+            .remove(refuse.ticket())
+            .refused("rate limit exceeded; retry in " + refuse.retryAfterMs() + " ms");
       } else if (action instanceof RateLimitAction.RequestTokens tokens) {
         peers.requestTokens(tokens.peer(), tokens.request());
       }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -46,7 +46,8 @@
       boolean readOnly,
       String organisation,
       Route route,
-      boolean counted) {
+      boolean counted,
+      long ageMs) {
     boolean isExecute = statement.kind() == StatementKind.EXECUTE;
     return new PeerMessage.Forward(
         0,
@@ -58,7 +59,8 @@
         isExecute ? prepared.get(statement.name()) : null,
         Map.copyOf(values),
         lastCommit(route.group()),
-        counted);
+        counted,
+        ageMs);
   }
 
   Map<String, String> values() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -177,6 +177,11 @@
     }
   }
 
+  @Override
+  public boolean mayCompleteMessage(ByteBuffer received) {
+    return codec.mayCompleteMessage(received);
+  }
+
   private void handle(TargetMessage message) {
     if (!open) {
       handleFirst(message);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.admission.PriorityWaitQueue;
 import io.hickorydrift.core.connection.ConnectionEvictor;
 import io.hickorydrift.core.connection.EvictionPolicy;
+import io.hickorydrift.core.connection.OpeningPolicy;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
@@ -32,8 +33,14 @@
   // connections are opened at the same time.
   private static final int MAX_OPENING = 2;
   private static final int UNREACHABLE_AFTER_FAILURES = 2;
+  // A target drops the connections of a client that lost power after 3 s; until then each second
+  // shows whether some were dropped.
+  private static final long FULL_RETRY_DELAY_NANOS = 1_000_000_000L;
   private static final long RECENTLY_RECEIVED_NANOS = 400_000_000L;
 
+  private static final double ANONYMOUS_SHARE = 0.25;
+  private static final String RULED_OUT_REASON = "another process answers at the target's address";
+
   /** Receives the result of a request for a connection. */
   interface AcquireListener {
     /** Receives a connection, which has to be returned with {@link #release}. */
@@ -43,7 +50,7 @@
     void refused(String reason);
   }
 
-  private record PendingAcquire(String organisation, AcquireListener listener) {}
+  private record PendingAcquire(String organisation, long sinceNanos, AcquireListener listener) {}
 
   private final EventLoop loop;
   private final TargetCodec codec;
@@ -54,6 +61,7 @@
   private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
   private final PriorityWaitQueue<PendingAcquire> waitQueue = new PriorityWaitQueue<>();
   private long nextOpenNanos = Long.MIN_VALUE;
+  private long fullUntilNanos = Long.MIN_VALUE;
   private boolean draining;
   private boolean evicting;
   private int failedOpens;
@@ -117,12 +125,21 @@
       listener.acquired(connection);
       return;
     }
-    if (failedOpens >= UNREACHABLE_AFTER_FAILURES && !receivedRecently()) {
+    if (target.isRuledOut()) {
+      listener.refused(RULED_OUT_REASON);
+      return;
+    }
+    if (isUnreachable()) {
       listener.refused("target is unreachable");
       probeTarget(organisation);
       return;
     }
-    waitQueue.add(priority, deadlineNanos, new PendingAcquire(organisation, listener));
+    if (isFull() && connections.isEmpty()) {
+      listener.refused("target has no free connection");
+      return;
+    }
+    waitQueue.add(
+        priority, deadlineNanos, new PendingAcquire(organisation, loop.nowNanos(), listener));
     openForWaiting();
   }
 
@@ -169,16 +186,29 @@
       if (openingCount() >= MAX_OPENING) {
         return;
       }
-      if (openingCount(next.organisation) >= waitingCount(next.organisation)) {
-        continue;
-      }
-      if (connections.size() >= budget.getAsInt() && !evictOne()) {
+      boolean poolFull = connections.size() >= budget.getAsInt() || isFull();
+      OpeningPolicy.Decision decision =
+          OpeningPolicy.decide(
+              demand(next.organisation), poolFull, loop.nowNanos() - next.sinceNanos);
+      if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
         return;
       }
-      open(next.organisation);
+      if (decision != OpeningPolicy.Decision.WAIT) {
+        open(next.organisation);
+      }
     }
   }
 
+  /** Returns whether connections cannot be opened and none has received data recently. */
+  boolean isUnreachable() {
+    return failedOpens >= UNREACHABLE_AFTER_FAILURES && !receivedRecently();
+  }
+
+  /** Returns whether the target refused a connection beyond its limit within the retry delay. */
+  private boolean isFull() {
+    return fullUntilNanos != Long.MIN_VALUE && fullUntilNanos - loop.nowNanos() > 0;
+  }
+
   private boolean receivedRecently() {
     return receivedSince(loop.nowNanos() - RECENTLY_RECEIVED_NANOS);
   }
@@ -210,20 +240,32 @@
     return true;
   }
 
-  private int openingCount() {
-    int count = 0;
+  /**
+   * Returns how many connections {@code organisation} may have. Callers without a key, which no
+   * rate bounds, get a share that leaves most of the pool to the organisations.
+   */
+  private int maxConnections(String organisation) {
+    boolean anonymous = organisation.equals(AdmissionDecision.NO_ORGANISATION);
+    return anonymous ? Math.max(1, (int) (budget.getAsInt() * ANONYMOUS_SHARE)) : Integer.MAX_VALUE;
+  }
+
+  private OpeningPolicy.Demand demand(String organisation) {
+    int open = 0;
+    int opening = 0;
     for (TargetConnection connection : connections) {
-      count += connection.isOpen() ? 0 : 1;
+      if (connection.organisation().equals(organisation)) {
+        open += connection.isOpen() ? 1 : 0;
+        opening += connection.isOpen() ? 0 : 1;
+      }
     }
-    return count;
+    return new OpeningPolicy.Demand(
+        open, opening, waitingCount(organisation), maxConnections(organisation));
   }
 
-  private int openingCount(String organisation) {
+  private int openingCount() {
     int count = 0;
     for (TargetConnection connection : connections) {
-      if (!connection.isOpen() && connection.organisation().equals(organisation)) {
-        count++;
-      }
+      count += connection.isOpen() ? 0 : 1;
     }
     return count;
   }
@@ -250,16 +292,42 @@
 
   void onOpenFailed(TargetConnection connection, FailureCode code, String reason) {
     connections.remove(connection);
-    failedOpens++;
-    nextOpenNanos = loop.nowNanos() + OPEN_RETRY_DELAY_NANOS;
-    target.avoidUntil(nextOpenNanos);
+    recordFailedOpen(code);
     Logger.info(
         "event=open_failed target={} organisation={} code={} reason=\"{}\"",
         target.entry().id(),
         connection.organisation(),
         code,
         reason);
-    refuseOne(connection.organisation(), "cannot connect: " + reason);
+    if (target.isRuledOut()) {
+      refuseAll(RULED_OUT_REASON);
+    } else if (isUnreachable() || isFull() && connections.isEmpty()) {
+      refuseAll("cannot connect: " + reason);
+    } else {
+      refuseOne(connection.organisation(), "cannot connect: " + reason);
+    }
+  }
+
+  /** Notes what the failure rules out, so that the next request does not have to find it again. */
+  private void recordFailedOpen(FailureCode code) {
+    long nowNanos = loop.nowNanos();
+    if (code == FailureCode.MISROUTED) {
+      target.ruleOut();
+    } else if (code == FailureCode.CONNECTION_LIMIT) {
+      fullUntilNanos = nowNanos + FULL_RETRY_DELAY_NANOS;
+    } else {
+      failedOpens++;
+      nextOpenNanos = nowNanos + OPEN_RETRY_DELAY_NANOS;
+    }
+    target.avoidUntil(nowNanos + OPEN_RETRY_DELAY_NANOS);
+  }
+
+  private void refuseAll(String reason) {
+    for (PendingAcquire next = waitQueue.poll(any -> true);
+        next != null;
+        next = waitQueue.poll(any -> true)) {
+      next.listener.refused(reason);
+    }
   }
 
   private void refuseOne(String organisation, String reason) {
@@ -293,11 +361,7 @@
   /** Closes idle connections; connections in use are closed when they are released. */
   void drain() {
     draining = true;
-    for (PendingAcquire next = waitQueue.poll(any -> true);
-        next != null;
-        next = waitQueue.poll(any -> true)) {
-      next.listener.refused("target is leaving");
-    }
+    refuseAll("target is leaving");
     while (!idle.isEmpty()) {
       idle.pollFirst().close("target is leaving");
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.TargetCodec;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,6 +76,33 @@
     }
   }
 
+  /** Returns the ids of the targets to which this instance cannot open connections. */
+  List<String> unreachableTargets() {
+    List<String> ids = new ArrayList<>();
+    for (TargetPool pool : pools.values()) {
+      if (pool.isUnreachable() || pool.target().isRuledOut()) {
+        ids.add(pool.target().entry().id());
+      }
+    }
+    return ids;
+  }
+
+  /**
+   * Prefers other targets to those that a peer cannot reach, unless this instance has just received
+   * data from them.
+   */
+  void avoidUnreachable(List<String> ids, long nanos) {
+    if (ids.isEmpty()) {
+      return;
+    }
+    long nowNanos = loop.nowNanos();
+    for (TargetPool pool : pools.values()) {
+      if (ids.contains(pool.target().entry().id()) && !pool.receivedSince(nowNanos - nanos)) {
+        pool.target().avoidUntil(nowNanos + nanos);
+      }
+    }
+  }
+
   /** Returns the number of connections to all targets, open or opening. */
   int connectionCount() {
     int count = 0;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.admission.HoldPolicy;
 import io.hickorydrift.core.declaration.Consistency;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.directory.GroupState;
@@ -12,7 +13,7 @@
 
 /**
  * Finds a connection for a statement. Tries one target after another until one accepts the
- * statement or the statement has been held for {@link #MAX_HOLD_NANOS}.
+ * statement, or until {@link HoldPolicy} refuses it.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -30,9 +31,6 @@
     void exhausted(String reason);
   }
 
-  // Longer than the usual wait for a slot or a connection, and far shorter than a change of
-  // primary.
-  private static final long MAX_HOLD_NANOS = 400_000_000L;
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
   // Covers the time from the arrival of a statement's first byte until this instance reads it.
@@ -44,8 +42,8 @@
   private final boolean replicasAllowed;
   private final Position lastCommit;
   private final long receivedNanos;
-  private final long holdUntilNanos;
   private final long deadlineNanos;
+  private final HoldPolicy hold;
   private final Listener listener;
   private final Set<String> triedTargets = new HashSet<>();
   private String lastFailureReason = "no target announced";
@@ -68,7 +66,7 @@
     this.listener = listener;
     long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
     deadlineNanos = receivedNanos + timeoutNanos;
-    holdUntilNanos = receivedNanos + Math.min(timeoutNanos, MAX_HOLD_NANOS);
+    hold = new HoldPolicy(route.statementTimeoutMs());
   }
 
   /** Tries the next target. */
@@ -87,6 +85,7 @@
                 .placement()
                 .choose(
                     group,
+                    organisation,
                     atLeast,
                     triedTargets,
                     t -> context.pool(t).hasIdle(organisation),
@@ -105,8 +104,7 @@
   private TargetState untriedPrimary(GroupState group) {
     TargetState primary = group.primary();
     boolean eligible =
-        primary != null
-            && !primary.entry().draining()
+        isUsable(primary)
             && group.recoveryEstimator().expectedRecoveryMs(context.loop().nowNanos()) == 0
             && !triedTargets.contains(primary.entry().id() + "/proven");
     if (!eligible) {
@@ -150,7 +148,7 @@
   }
 
   private long acquireDeadlineNanos() {
-    long untilNanos = context.loop().nowNanos() + MAX_HOLD_NANOS;
+    long untilNanos = context.loop().nowNanos() + TimeUnit.MILLISECONDS.toNanos(hold.holdMs());
     return untilNanos - deadlineNanos < 0 ? untilNanos : deadlineNanos;
   }
 
@@ -162,26 +160,20 @@
 
   private long backoffMs() {
     backoffs++;
-    return Math.min(MAX_BACKOFF_MS, BACKOFF_BASE_MS << backoffs);
+    return Math.min(MAX_BACKOFF_MS, BACKOFF_BASE_MS << (backoffs - 1));
   }
 
-  /**
-   * Tries all targets again after a backoff. Ends the search if the hold time is over, or if the
-   * group has no primary and none is expected within it.
-   */
+  /** Tries all targets again after a backoff, or ends the search if that is hopeless. */
   private void backOff() {
-    long recoveryMs =
-        context
-            .directory()
-            .group(route.group())
-            .recoveryEstimator()
-            .expectedRecoveryMs(context.loop().nowNanos());
-    if (recoveryMs > TimeUnit.NANOSECONDS.toMillis(MAX_HOLD_NANOS)) {
-      listener.exhausted(lastFailureReason + "; retry in " + recoveryMs + " ms");
-      return;
-    }
-    if (holdUntilNanos - context.loop().nowNanos() < 0) {
-      listener.exhausted(lastFailureReason);
+    long nowNanos = context.loop().nowNanos();
+    GroupState group = context.directory().group(route.group());
+    long refuseAfterMs =
+        hold.refuseAfterMs(
+            hasUsableTarget(group),
+            group.recoveryEstimator().expectedRecoveryAfterFailureMs(nowNanos),
+            TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos));
+    if (refuseAfterMs != HoldPolicy.HOLD) {
+      listener.exhausted(lastFailureReason + "; retry in " + refuseAfterMs + " ms");
       return;
     }
     context
@@ -193,4 +185,28 @@
               tryNext();
             });
   }
+
+  private boolean hasUsableTarget(GroupState group) {
+    long nowNanos = context.loop().nowNanos();
+    TargetState primary = group.primary();
+    if (isUsable(primary) && group.recoveryEstimator().expectedRecoveryMs(nowNanos) == 0) {
+      return true;
+    }
+    if (!replicasAllowed || lowerBound(group) == null) {
+      return false;
+    }
+    for (TargetState target : group.targets()) {
+      if (target != primary && isUsable(target)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean isUsable(TargetState target) {
+    return target != null
+        && !target.entry().draining()
+        && !target.isRuledOut()
+        && !context.pool(target).isUnreachable();
+  }
 }
