--- a/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
@@ -34,7 +34,7 @@
   }
 
   /** Returns a hash of {@code key} and {@code candidate} between 0 and 1, both exclusive. */
-  static double unitHash(String key, String candidate) {
+  public static double unitHash(String key, String candidate) {
     long bits = weight(hash(key), candidate) >>> UNUSED_BITS;
     return (bits + HALF) / (1L << (Long.SIZE - UNUSED_BITS));
   }
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
@@ -0,0 +1,96 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.relay.DocumentDelta;
+import io.hickorydrift.proxy.net.EventLoop;
+import io.hickorydrift.proxy.port.PlatformAdapter;
+import org.tinylog.Logger;
+
+/**
+ * Passes declarations between instances: as the difference to a version that the receiver has, or
+ * whole.
+ *
+ * <p>Thread safety: confined to the loop's thread.
+ */
+final class DeclarationExchange {
+  // The relay of the failure domain sends a new version well within this time.
+  private static final long RELAY_DELAY_NANOS = 700_000_000L;
+  private static final long REQUEST_INTERVAL_NANOS = 700_000_000L;
+
+  private final EventLoop loop;
+  private final Declarations declarations;
+  private final PlatformAdapter platform;
+  private long behindSinceNanos = Long.MIN_VALUE;
+  private long requestedNanos = Long.MIN_VALUE;
+
+  DeclarationExchange(EventLoop loop, Declarations declarations, PlatformAdapter platform) {
+    this.loop = loop;
+    this.declarations = declarations;
+    this.platform = platform;
+  }
+
+  /** Returns the message that brings a peer which has {@code version} up to date, or null. */
+  PeerMessage changeSince(long version) {
+    byte[] current = declarations.storedValue();
+    if (current == null || declarations.current().version() <= version) {
+      return null;
+    }
+    byte[] base = declarations.storedValue(version);
+    if (base == null) {
+      return new PeerMessage.DeclarationResponse(current);
+    }
+    byte[] delta = DocumentDelta.encode(base, current);
+    return delta.length < current.length
+        ? new PeerMessage.DeclarationChange(version, delta)
+        : new PeerMessage.DeclarationResponse(current);
+  }
+
+  /**
+   * Handles the version that a peer has in force. Requests a newer one if the relay has not sent it
+   * in time, from one peer at a time.
+   */
+  void onPeerVersion(OutboundPeerLink link, long peerVersion) {
+    long nowNanos = loop.nowNanos();
+    if (peerVersion <= declarations.current().version()) {
+      behindSinceNanos = Long.MIN_VALUE;
+      return;
+    }
+    if (behindSinceNanos == Long.MIN_VALUE) {
+      behindSinceNanos = nowNanos;
+    }
+    boolean relayHadTime =
+        declarations.storedValue() == null || nowNanos - behindSinceNanos >= RELAY_DELAY_NANOS;
+    boolean requested =
+        requestedNanos != Long.MIN_VALUE && nowNanos - requestedNanos < REQUEST_INTERVAL_NANOS;
+    if (relayHadTime && !requested) {
+      requestedNanos = nowNanos;
+      link.send(new PeerMessage.DeclarationRequest(declarations.current().version()));
+    }
+  }
+
+  /** Applies a declaration that {@code peer} sent. */
+  void onResponse(String peer, PeerMessage.DeclarationResponse response) {
+    accept(peer, response.value());
+  }
+
+  /** Applies a change that {@code peer} sent; it is ignored if the own version has changed. */
+  void onChange(String peer, PeerMessage.DeclarationChange change) {
+    byte[] base = declarations.storedValue(change.baseVersion());
+    if (base == null) {
+      Logger.info("event=declaration_base_missing peer={} base={}", peer, change.baseVersion());
+      return;
+    }
+    try {
+      accept(peer, DocumentDelta.apply(base, change.delta()));
+    } catch (IllegalArgumentException e) {
+      Logger.warn("event=declaration_change_unusable peer={} reason=\"{}\"", peer, e.getMessage());
+    }
+  }
+
+  private void accept(String peer, byte[] value) {
+    try {
+      declarations.accept(platform.decodeDeclaration(value), value);
+    } catch (IllegalArgumentException e) {
+      Logger.warn("event=declaration_unreadable peer={} reason=\"{}\"", peer, e.getMessage());
+    }
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -3,6 +3,8 @@
 import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.DeclaredOrganisation;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -13,10 +15,13 @@
  * <p>Invariant: the version never decreases. Thread safety: confined to the loop's thread.
  */
 final class Declarations {
+  // A peer that misses more versions than this is sent the whole declaration.
+  private static final int KEPT_VERSIONS = 4;
+
   private final EventLoop loop;
   private final long keyValidityNanos;
   private Declaration current = Declaration.NONE;
-  private byte[] stored;
+  private final Map<Long, byte[]> storedByVersion = new LinkedHashMap<>();
   private long confirmedNanos;
   private boolean confirmed;
   private boolean unreadable;
@@ -39,7 +44,12 @@
 
   /** Returns the stored bytes of the declaration in force, or null if there is none. */
   byte[] storedValue() {
-    return stored;
+    return storedByVersion.get(current.version());
+  }
+
+  /** Returns the stored bytes of one of the last versions, or null if it is not kept. */
+  byte[] storedValue(long version) {
+    return storedByVersion.get(version);
   }
 
   /** Applies a declaration newer than the one in force; {@code value} holds its stored bytes. */
@@ -55,7 +65,10 @@
         declaration.organisations().size());
     logChangedLimits(declaration);
     current = declaration;
-    stored = value;
+    storedByVersion.put(declaration.version(), value);
+    if (storedByVersion.size() > KEPT_VERSIONS) {
+      storedByVersion.remove(storedByVersion.keySet().iterator().next());
+    }
     unreadable = false;
   }
 
@@ -81,6 +94,11 @@
     unreadable = true;
   }
 
+  /** Returns whether the store holds a later version that could not be read. */
+  boolean isUnreadable() {
+    return unreadable;
+  }
+
   /**
    * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
    * in force.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -50,6 +50,7 @@
   private final FleetMembership fleet;
   private final TargetPools pools;
   private final StoreSync sync;
+  private final RelayService relay;
   private final PrimaryProber prober;
   private final Peers peers;
   private final OrganisationRateLimiter limits;
@@ -69,15 +70,27 @@
     this.settings = settings;
     this.platform = platform;
     declarations = new Declarations(loop, settings.keyValidityMs() - KEY_VALIDITY_MARGIN_MS);
-    KeyValueStore store = platform.store(loop, settings.storeAddress());
-    fleet =
-        new FleetMembership(
-            loop, store, settings.id(), settings.peersListen(), settings.homeWeight());
+    KeyValueStore store = new CountingStore(platform.store(loop, settings.storeAddress()), metrics);
+    FleetEntry ownEntry =
+        new FleetEntry(settings.peersListen(), settings.homeWeight(), settings.failureDomain());
+    fleet = new FleetMembership(loop, store, settings.id(), ownEntry);
     homes = new HomeRouter(loop, declarations, fleet, settings.id());
     pools = new TargetPools(loop, platform.targetCodec(), homes);
     Directory directory = new Directory(this::onTargetRemoved);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
-    peers = new Peers(loop, settings.id(), fleet, platform, declarations, directory, prober, homes);
+    DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
+    peers =
+        new Peers(
+            loop,
+            new PeerTraffic(metrics, fleet),
+            settings.id(),
+            fleet,
+            declarations,
+            exchange,
+            directory,
+            pools,
+            prober,
+            homes);
     homes.start(peers);
     limits = new OrganisationRateLimiter(loop, declarations, fleet, peers, homes, settings.id());
     promotions =
@@ -92,16 +105,9 @@
             peers,
             homes,
             settings.id());
-    sync =
-        new StoreSync(
-            loop,
-            store,
-            platform,
-            declarations,
-            directory,
-            fleet,
-            peers::providesProofs,
-            homes::servesAnyGroup);
+    StoreContents contents = new StoreContents(loop, platform, declarations, directory, fleet);
+    relay = new RelayService(exchange, declarations, contents::items);
+    sync = new StoreSync(loop, store, contents, declarations, fleet, peers, relay, settings.id());
     context =
         new GatewayContext(
             loop,
@@ -132,7 +138,7 @@
         settings.metricsListen(),
         channel -> new HttpServerConnection(channel, this::answerMetrics));
     listen(settings.peersListen(), peers::serve);
-    peers.start(limits, new ForwardedStatementService(context), sync);
+    peers.start(limits, new ForwardedStatementService(context), sync, relay);
     limits.start();
     sync.start();
     fleet.join();
@@ -145,6 +151,7 @@
   }
 
   private void registerGauges() {
+    metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
     metrics.registerGauge(
@@ -246,6 +253,16 @@
     return homes.isHome(group);
   }
 
+  /** Returns whether this instance watches the store itself, rather than following a relay. */
+  public boolean isWatchingStore() {
+    return sync.isWatching();
+  }
+
+  /** Returns the version of the declaration in force. */
+  public long declarationVersion() {
+    return declarations.current().version();
+  }
+
   /** Returns the number of connections to targets, open or opening. */
   public int targetConnections() {
     return pools.connectionCount();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -19,10 +19,12 @@
 final class HomeRouter {
   // The home, and the standby that replaces a failed home until the home's fleet entry has expired.
   private static final int RATE_HOLDER_RANKS = 2;
+  private static final int LINKED_RANKS = 2;
   private static final long RECENTLY_SERVED_NANOS = 5_000_000_000L;
-  // A target closes the connections of a client that lost power 3 s after the loss. The start of
-  // the instance takes about one of these seconds.
-  private static final long START_PHASE_NANOS = 2_200_000_000L;
+  // A target closes the connections of a client that lost power 3 s after the loss. Until the
+  // restarted process begins to serve, about two of these seconds are over; a target that still
+  // counts dead connections after that refuses new ones, and the pool then waits.
+  private static final long START_PHASE_NANOS = 1_000_000_000L;
 
   private final EventLoop loop;
   private final Declarations declarations;
@@ -120,19 +122,6 @@
     return mayServe(group, self);
   }
 
-  /** Returns whether this instance may serve any group, or has served one recently. */
-  boolean servesAnyGroup() {
-    for (String group : declarations.current().groups().keySet()) {
-      Long servedNanos = lastServedNanos.get(group);
-      boolean recentlyServed =
-          servedNanos != null && loop.nowNanos() - servedNanos < RECENTLY_SERVED_NANOS;
-      if (recentlyServed || mayServe(group)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Records that a statement of {@code group} runs here. */
   void recordServed(String group) {
     lastServedNanos.put(group, loop.nowNanos());
@@ -172,16 +161,35 @@
     return ids;
   }
 
-  /** Returns the peers to which this instance keeps links. */
+  /**
+   * Returns the peers to which this instance keeps links: of each group the home and the first
+   * instance that would replace it, and the next in rank while one of these is down; all of them if
+   * this instance may serve the group itself.
+   */
   Set<String> linkedPeers() {
     if (allGroupsDirect()) {
       return fleet.otherAddresses().keySet();
     }
     Set<String> ids = new LinkedHashSet<>();
     for (String group : declarations.current().groups().keySet()) {
-      ids.addAll(plan().rankedInstances(group));
+      List<String> ranked = plan().rankedInstances(group);
+      int wanted = ranked.contains(self) ? ranked.size() : LINKED_RANKS;
+      for (int i = 0; i < ranked.size() && wanted > 0; i++) {
+        ids.add(ranked.get(i));
+        wanted -= peers.isDown(ranked.get(i)) ? 0 : 1;
+      }
     }
     ids.remove(self);
     return ids;
   }
+
+  /** Returns whether this instance and {@code peer} may both serve some group. */
+  boolean servesWith(String peer) {
+    for (String group : declarations.current().groups().keySet()) {
+      if (mayServe(group) && mayServe(group, peer)) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.proxy.net.ChannelHandler;
+import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
 import java.nio.ByteBuffer;
 import java.util.function.BiConsumer;
@@ -13,17 +14,28 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class InboundPeerLink implements ChannelHandler {
+  // Twice the timeout after which the peer itself closes a link without heartbeats.
+  private static final long SILENCE_TIMEOUT_NANOS = 5_200_000_000L;
+
   private final TcpChannel channel;
   private final BiConsumer<InboundPeerLink, PeerMessage> onRequest;
   private final Consumer<InboundPeerLink> onClosed;
+  private final EventLoop loop;
+  private final PeerTraffic traffic;
   private String peer = "unknown";
+  private long lastReceivedNanos;
 
   InboundPeerLink(
+      EventLoop loop,
+      PeerTraffic traffic,
       TcpChannel channel,
       BiConsumer<InboundPeerLink, PeerMessage> onRequest,
       Consumer<InboundPeerLink> onClosed) {
+    this.loop = loop;
+    this.traffic = traffic;
     this.channel = channel;
     this.onClosed = onClosed;
+    lastReceivedNanos = loop.nowNanos();
     this.onRequest = onRequest;
   }
 
@@ -31,6 +43,18 @@
     channel.close();
   }
 
+  /**
+   * Closes the link if the peer has sent nothing for longer than its heartbeats allow, as after a
+   * loss of power; its transactions would hold their connections otherwise.
+   */
+  void closeIfSilent() {
+    if (!channel.isClosed() && loop.nowNanos() - lastReceivedNanos > SILENCE_TIMEOUT_NANOS) {
+      Logger.warn("event=peer_silent peer={}", peer);
+      channel.close();
+      onClosed.accept(this);
+    }
+  }
+
   /** Returns the id of the peer, which its first ping carries; "unknown" until then. */
   String peer() {
     return peer;
@@ -40,11 +64,12 @@
     if (channel.isClosed()) {
       return;
     }
-    PeerMessageCodec.write(channel.out(), message);
+    traffic.write(channel.out(), peer, message);
   }
 
   @Override
   public void received(ByteBuffer in) {
+    lastReceivedNanos = loop.nowNanos();
     try {
       for (PeerMessage message = PeerMessageCodec.read(in);
           message != null && !channel.isClosed();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -4,21 +4,32 @@
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
  * A connection that this instance opened to a peer. It is closed when nothing is received within
  * the heartbeat timeout, since a connection can fail without a reset, and is then reopened.
  *
- * <p>Thread safety: confined to the loop's thread.
+ * <p>A link whose peer's status this instance does not need carries few heartbeats while it is
+ * idle. Before a statement is sent over such a link, a ping shows that it still works.
+ *
+ * <p>Invariant: each forwarded statement ends exactly once; it is reported as not sent only if none
+ * of it was sent. Thread safety: confined to the loop's thread.
  */
 final class OutboundPeerLink implements ChannelHandler {
-  private static final long HEARTBEAT_TIMEOUT_NANOS = 900_000_000L;
+  // Two lost heartbeats.
+  private static final long STATUS_TIMEOUT_NANOS = 900_000_000L;
+  private static final long IDLE_PING_INTERVAL_NANOS = 1_500_000_000L;
+  private static final long IDLE_TIMEOUT_NANOS = 2_600_000_000L;
+  // A statement is sent at once if data was received this recently.
+  private static final long RECENT_NANOS = 500_000_000L;
+  // Many round trips; a peer that is short of processor time answers a ping within it.
+  private static final long PROBE_TIMEOUT_MS = 400;
   private static final long RECONNECT_DELAY_NANOS = 300_000_000L;
   // The home responds within the statement's timeout; the delays of the link are added to it.
   private static final long FORWARD_MARGIN_MS = 300;
@@ -32,29 +43,59 @@
     void onResponse(OutboundPeerLink link, PeerMessage message);
   }
 
+  /** Receives the end of a forwarded statement. */
+  interface ForwardListener {
+    /** The peer answered. */
+    void answered(StatementOutcome outcome);
+
+    /** The statement was sent, and the link closed or the timeout expired before an answer. */
+    void lost();
+
+    /** Nothing was sent; the statement may be sent elsewhere. */
+    void notSent();
+  }
+
+  private record HeldForward(
+      PeerMessage.Forward message, long timeoutMs, ForwardListener listener) {}
+
   private final EventLoop loop;
+  private final PeerTraffic traffic;
   private final String self;
   private final String peer;
   private final String address;
   private final Listener listener;
   private final Map<Long, Long> pingSentNanos = new HashMap<>();
+  private final Map<Long, ForwardListener> pendingForwards = new HashMap<>();
+  private final List<HeldForward> heldForwards = new ArrayList<>();
   private TcpChannel channel;
   private boolean open;
   private boolean up;
-  private final Map<Long, Consumer<StatementOutcome>> pendingForwards = new HashMap<>();
+  private boolean needsStatus = true;
+  private long statusNeededSinceNanos;
+  private boolean closing;
+  private long connectionNumber;
   private long lastCorrelation;
   private long lastTransaction;
   private long lastSequence;
   private long lastOpenOrCloseNanos;
   private long lastReceivedNanos;
   private PeerMessage.Pong lastPong;
+  private long lastPongPingNanos;
 
-  OutboundPeerLink(EventLoop loop, String self, String peer, String address, Listener listener) {
+  OutboundPeerLink(
+      EventLoop loop,
+      PeerTraffic traffic,
+      String self,
+      String peer,
+      String address,
+      Listener listener) {
+    this.traffic = traffic;
     this.loop = loop;
     this.self = self;
     this.peer = peer;
     this.address = address;
     this.listener = listener;
+    statusNeededSinceNanos = loop.nowNanos();
     connect();
   }
 
@@ -70,7 +111,17 @@
    * Returns whether the peer has answered a ping and has sent data within the heartbeat timeout.
    */
   boolean isUp() {
-    return up && loop.nowNanos() - lastReceivedNanos < HEARTBEAT_TIMEOUT_NANOS;
+    return up && !isSilentTooLong();
+  }
+
+  /** Returns whether the heartbeat timed out; the shorter timeout starts with its heartbeats. */
+  private boolean isSilentTooLong() {
+    long nowNanos = loop.nowNanos();
+    long silentNanos = nowNanos - lastReceivedNanos;
+    return silentNanos > IDLE_TIMEOUT_NANOS
+        || needsStatus
+            && silentNanos > STATUS_TIMEOUT_NANOS
+            && nowNanos - statusNeededSinceNanos > STATUS_TIMEOUT_NANOS;
   }
 
   /** Returns the last pong, or null if there was none. */
@@ -78,9 +129,20 @@
     return lastPong;
   }
 
+  /** Returns the age of the status in {@link #lastPong}, which must not be null. */
+  long statusAgeMs() {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - lastPongPingNanos);
+  }
+
+  /** Returns a number that changes with each connection of the link. */
+  long connectionNumber() {
+    return connectionNumber;
+  }
+
   private void connect() {
     open = false;
     up = false;
+    connectionNumber++;
     lastOpenOrCloseNanos = loop.nowNanos();
     lastReceivedNanos = lastOpenOrCloseNanos;
     pingSentNanos.clear();
@@ -92,12 +154,39 @@
     return ++lastTransaction;
   }
 
-  /**
-   * Sends a statement to the peer and returns whether it was sent. If so, {@code onOutcome}
-   * receives its outcome, or null if the link closes or the timeout expires first.
-   */
-  boolean forward(
-      PeerMessage.Forward forward, long timeoutMs, Consumer<StatementOutcome> onOutcome) {
+  /** Sends a statement to the peer, once the link has shown that it works. */
+  void forward(PeerMessage.Forward forward, long timeoutMs, ForwardListener onEnd) {
+    if (!open || channel.isClosed()) {
+      onEnd.notSent();
+      return;
+    }
+    if (loop.nowNanos() - lastReceivedNanos < RECENT_NANOS) {
+      sendForward(new HeldForward(forward, timeoutMs, onEnd));
+      return;
+    }
+    heldForwards.add(new HeldForward(forward, timeoutMs, onEnd));
+    if (heldForwards.size() == 1) {
+      probe();
+    }
+  }
+
+  private void probe() {
+    sendPing();
+    long connection = connectionNumber;
+    long receivedNanos = lastReceivedNanos;
+    loop.after(
+        PROBE_TIMEOUT_MS,
+        () -> {
+          boolean silent = connection == connectionNumber && lastReceivedNanos == receivedNanos;
+          if (silent && !channel.isClosed()) {
+            channel.close();
+            closed("no answer to a probe");
+          }
+        });
+  }
+
+  private void sendForward(HeldForward held) {
+    PeerMessage.Forward forward = held.message;
     long correlation = ++lastCorrelation;
     boolean sent =
         send(
@@ -111,32 +200,36 @@
                 forward.preparedStatement(),
                 forward.values(),
                 forward.lastCommit(),
-                forward.counted()));
+                forward.counted(),
+                forward.ageMs()));
     if (!sent) {
-      return false;
+      held.listener.notSent();
+      return;
     }
-    EventLoop.Timer timer =
-        loop.after(timeoutMs + FORWARD_MARGIN_MS, () -> complete(correlation, null));
-    pendingForwards.put(
-        correlation,
-        outcome -> {
-          timer.cancel();
-          onOutcome.accept(outcome);
+    pendingForwards.put(correlation, held.listener);
+    loop.after(
+        held.timeoutMs + FORWARD_MARGIN_MS,
+        () -> {
+          ForwardListener late = pendingForwards.remove(correlation);
+          if (late != null) {
+            late.lost();
+          }
         });
-    return true;
   }
 
-  private void complete(long correlation, StatementOutcome outcome) {
-    Consumer<StatementOutcome> onOutcome = pendingForwards.remove(correlation);
-    if (onOutcome != null) {
-      onOutcome.accept(outcome);
-    }
+  private void sendHeldForwards() {
+    List<HeldForward> held = List.copyOf(heldForwards);
+    heldForwards.clear();
+    held.forEach(this::sendForward);
   }
 
-  private void failPendingForwards() {
-    for (Long correlation : List.copyOf(pendingForwards.keySet())) {
-      complete(correlation, null);
-    }
+  private void endForwards() {
+    List<HeldForward> held = List.copyOf(heldForwards);
+    List<ForwardListener> pending = List.copyOf(pendingForwards.values());
+    heldForwards.clear();
+    pendingForwards.clear();
+    held.forEach(each -> each.listener.notSent());
+    pending.forEach(ForwardListener::lost);
   }
 
   /** Sends a message if the link is open, and returns whether it was sent. */
@@ -144,45 +237,64 @@
     if (!open || channel.isClosed()) {
       return false;
     }
-    PeerMessageCodec.write(channel.out(), message);
+    traffic.write(channel.out(), peer, message);
     return true;
   }
 
-  /** Sends the next ping; closes a link whose heartbeat timed out, and reopens a closed one. */
-  void ping() {
+  /**
+   * Sends the next ping if it is due; closes a link whose heartbeat timed out, and reopens a closed
+   * one.
+   *
+   * @param statusNeeded whether this instance needs the peer's status
+   */
+  void heartbeat(boolean statusNeeded) {
     long nowNanos = loop.nowNanos();
+    if (statusNeeded && !needsStatus) {
+      statusNeededSinceNanos = nowNanos;
+    }
+    needsStatus = statusNeeded;
     if (channel.isClosed()) {
       if (nowNanos - lastOpenOrCloseNanos > RECONNECT_DELAY_NANOS) {
         connect();
       }
       return;
     }
-    if (nowNanos - lastReceivedNanos > HEARTBEAT_TIMEOUT_NANOS) {
+    long silentNanos = nowNanos - lastReceivedNanos;
+    boolean due = needsStatus || !up || silentNanos >= IDLE_PING_INTERVAL_NANOS;
+    if (isSilentTooLong()) {
       channel.close();
       closed("heartbeat timeout");
-      return;
+    } else if (due || !pendingForwards.isEmpty()) {
+      sendPing();
     }
-    pingSentNanos.put(++lastSequence, nowNanos);
-    send(new PeerMessage.Ping(self, lastSequence));
+  }
+
+  private void sendPing() {
+    pingSentNanos.put(++lastSequence, loop.nowNanos());
+    send(new PeerMessage.Ping(self, lastSequence, needsStatus));
   }
 
   void close() {
+    closing = true;
     channel.close();
-    failPendingForwards();
+    endForwards();
   }
 
   @Override
   public void connected() {
     open = true;
-    ping();
+    sendPing();
   }
 
   @Override
   public void received(ByteBuffer in) {
     lastReceivedNanos = loop.nowNanos();
+    if (!heldForwards.isEmpty()) {
+      sendHeldForwards();
+    }
     try {
       for (PeerMessage message = PeerMessageCodec.read(in);
-          message != null;
+          message != null && !channel.isClosed();
           message = PeerMessageCodec.read(in)) {
         handle(message);
       }
@@ -194,7 +306,10 @@
 
   private void handle(PeerMessage message) {
     if (message instanceof PeerMessage.Result result) {
-      complete(result.correlation(), result.outcome());
+      ForwardListener answered = pendingForwards.remove(result.correlation());
+      if (answered != null) {
+        answered.answered(result.outcome());
+      }
       return;
     }
     if (!(message instanceof PeerMessage.Pong pong)) {
@@ -210,18 +325,19 @@
       Logger.info("event=peer_up peer={}", peer);
     }
     lastPong = pong;
+    lastPongPingNanos = pingNanos;
     listener.onPong(this, pong, pingNanos);
   }
 
   @Override
   public void closed(String reason) {
     open = false;
-    if (up) {
+    if (up && !closing) {
       long silentMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - lastReceivedNanos);
       Logger.warn("event=peer_lost peer={} reason=\"{}\" silent_ms={}", peer, reason, silentMs);
     }
     up = false;
     lastOpenOrCloseNanos = loop.nowNanos();
-    failPendingForwards();
+    endForwards();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
+import io.hickorydrift.proxy.port.KeyValueStore;
 import java.util.List;
 import java.util.Map;
 
@@ -16,8 +17,14 @@
  * <p>Thread safety: immutable as long as the collections in it are.
  */
 sealed interface PeerMessage {
-  /** Requests a {@link Pong}. */
-  record Ping(String instance, long sequence) implements PeerMessage {}
+  /**
+   * Requests a {@link Pong}.
+   *
+   * @param instance id of the sender
+   * @param sequence sequence number, echoed in the pong
+   * @param needsStatus whether the sender uses the status of the groups' primaries
+   */
+  record Ping(String instance, long sequence, boolean needsStatus) implements PeerMessage {}
 
   /**
    * Response to a ping. Ages are as of the time of sending, so that the receiver may count them
@@ -27,10 +34,18 @@
    * @param version version of the declaration in force
    * @param proofAgeMs age of the last proof that this version is the newest; -1 without one
    * @param revision newest revision of the store that the sender has applied
-   * @param groups status of each group's primary
+   * @param watching whether the sender watches the store itself
+   * @param groups status of each group's primary; empty if the ping did not ask for it
+   * @param unreachableTargets ids of the targets that the sender cannot reach
    */
   record Pong(
-      long sequence, long version, long proofAgeMs, long revision, List<PrimaryStatus> groups)
+      long sequence,
+      long version,
+      long proofAgeMs,
+      long revision,
+      boolean watching,
+      List<PrimaryStatus> groups,
+      List<String> unreachableTargets)
       implements PeerMessage {}
 
   /**
@@ -65,6 +80,7 @@
    * @param values values that the session has set
    * @param lastCommit position of the session's last commit, or null
    * @param counted whether the sender has counted the operation against the rate limit
+   * @param ageMs time since the sender received the statement
    */
   record Forward(
       long correlation,
@@ -76,7 +92,8 @@
       PreparedStatement preparedStatement,
       Map<String, String> values,
       Position lastCommit,
-      boolean counted)
+      boolean counted,
+      long ageMs)
       implements PeerMessage {}
 
   /** The result of a forwarded statement. */
@@ -85,9 +102,38 @@
   /** Ends a caller's transaction; if it is still open, it is rolled back. */
   record EndTransaction(long transaction) implements PeerMessage {}
 
-  /** Requests the declaration in force. */
-  record DeclarationRequest() implements PeerMessage {}
+  /** Requests the declaration in force; {@code version} is the one that the sender has. */
+  record DeclarationRequest(long version) implements PeerMessage {}
 
-  /** Response to a {@link DeclarationRequest}: the declaration as it is stored. */
+  /** The declaration in force, as it is stored. */
   record DeclarationResponse(byte[] value) implements PeerMessage {}
+
+  /** The declaration in force, as the difference to the version that the receiver has. */
+  record DeclarationChange(long baseVersion, byte[] delta) implements PeerMessage {}
+
+  /**
+   * Asks a relay for all changes in the store from now on.
+   *
+   * @param revision revision of the store that the sender has applied; 0 if none
+   * @param version version of the declaration that the sender has
+   */
+  record Subscribe(long revision, long version) implements PeerMessage {}
+
+  /**
+   * Changes in the store, sent to a subscriber. The declaration is sent on its own, before them.
+   *
+   * @param snapshot whether {@code items} are all items, rather than the changes since {@code
+   *     fromRevision}
+   * @param fromRevision revision that the receiver must have applied
+   * @param revision revision of the store with these changes
+   * @param failureAgeMs time since the store was last unreachable for the sender
+   * @param items the items
+   */
+  record StoreChanges(
+      boolean snapshot,
+      long fromRevision,
+      long revision,
+      long failureAgeMs,
+      List<KeyValueStore.Item> items)
+      implements PeerMessage {}
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.proxy.net.OutBuffer;
+import io.hickorydrift.proxy.port.KeyValueStore.Item;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -31,17 +32,21 @@
   private static final int FORWARD = 7;
   private static final int RESULT = 8;
   private static final int END_TRANSACTION = 9;
+  private static final int DECLARATION_CHANGE = 10;
+  private static final int SUBSCRIBE = 11;
+  private static final int STORE_CHANGES = 12;
 
   private PeerMessageCodec() {}
 
-  /** Appends the frame of {@code message}. */
-  static void write(OutBuffer out, PeerMessage message) {
+  /** Appends the frame of {@code message} and returns its length in bytes. */
+  static int write(OutBuffer out, PeerMessage message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       pack(packer, message);
       byte[] bytes = packer.toByteArray();
       int length = bytes.length;
       out.octet(length >>> 24).octet(length >>> 16).octet(length >>> 8).octet(length);
       out.octets(bytes);
+      return Integer.BYTES + length;
     } catch (IOException e) {
       throw new IllegalStateException("encoding into memory failed", e);
     }
@@ -50,13 +55,18 @@
   private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
     if (message instanceof PeerMessage.Ping ping) {
       packer.packInt(PING).packString(ping.instance()).packLong(ping.sequence());
+      packer.packBoolean(ping.needsStatus());
     } else if (message instanceof PeerMessage.Pong pong) {
       packer.packInt(PONG).packLong(pong.sequence()).packLong(pong.version());
-      packer.packLong(pong.proofAgeMs()).packLong(pong.revision());
+      packer.packLong(pong.proofAgeMs()).packLong(pong.revision()).packBoolean(pong.watching());
       packer.packArrayHeader(pong.groups().size());
       for (PeerMessage.PrimaryStatus group : pong.groups()) {
         packPrimaryStatus(packer, group);
       }
+      packer.packArrayHeader(pong.unreachableTargets().size());
+      for (String target : pong.unreachableTargets()) {
+        packer.packString(target);
+      }
     } else if (message instanceof PeerMessage.TokenRequest tokenRequest) {
       packer.packInt(TOKEN_REQUEST).packLong(tokenRequest.request().correlationId());
       packer
@@ -80,11 +90,32 @@
       ForwardCodec.packResult(packer, result);
     } else if (message instanceof PeerMessage.EndTransaction end) {
       packer.packInt(END_TRANSACTION).packLong(end.transaction());
-    } else if (message instanceof PeerMessage.DeclarationRequest) {
-      packer.packInt(DECLARATION_REQUEST);
+    } else if (message instanceof PeerMessage.DeclarationRequest request) {
+      packer.packInt(DECLARATION_REQUEST).packLong(request.version());
     } else if (message instanceof PeerMessage.DeclarationResponse declarationResponse) {
       packer.packInt(DECLARATION_RESPONSE).packBinaryHeader(declarationResponse.value().length);
       packer.writePayload(declarationResponse.value());
+    } else if (message instanceof PeerMessage.DeclarationChange change) {
+      packer.packInt(DECLARATION_CHANGE).packLong(change.baseVersion());
+      packer.packBinaryHeader(change.delta().length).writePayload(change.delta());
+    } else if (message instanceof PeerMessage.Subscribe subscribe) {
+      packer.packInt(SUBSCRIBE).packLong(subscribe.revision()).packLong(subscribe.version());
+    } else if (message instanceof PeerMessage.StoreChanges changes) {
+      packStoreChanges(packer, changes);
+    }
+  }
+
+  private static void packStoreChanges(MessageBufferPacker packer, PeerMessage.StoreChanges changes)
+      throws IOException {
+    packer.packInt(STORE_CHANGES).packBoolean(changes.snapshot());
+    packer.packLong(changes.fromRevision()).packLong(changes.revision());
+    packer.packLong(changes.failureAgeMs()).packArrayHeader(changes.items().size());
+    for (Item item : changes.items()) {
+      packer.packString(item.key()).packLong(item.revision());
+      packer.packBoolean(item.value() != null);
+      if (item.value() != null) {
+        packer.packBinaryHeader(item.value().length).writePayload(item.value());
+      }
     }
   }
 
@@ -127,7 +158,8 @@
     int type = unpacker.unpackInt();
     switch (type) {
       case PING:
-        return new PeerMessage.Ping(unpacker.unpackString(), unpacker.unpackLong());
+        return new PeerMessage.Ping(
+            unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
       case PONG:
         return unpackPong(unpacker);
       case TOKEN_REQUEST:
@@ -146,10 +178,15 @@
       case END_TRANSACTION:
         return new PeerMessage.EndTransaction(unpacker.unpackLong());
       case DECLARATION_REQUEST:
-        return new PeerMessage.DeclarationRequest();
+        return new PeerMessage.DeclarationRequest(unpacker.unpackLong());
       case DECLARATION_RESPONSE:
-        return new PeerMessage.DeclarationResponse(
-            unpacker.readPayload(checkCount(unpacker.unpackBinaryHeader(), MAX_FRAME_BYTES)));
+        return new PeerMessage.DeclarationResponse(unpackBytes(unpacker));
+      case DECLARATION_CHANGE:
+        return new PeerMessage.DeclarationChange(unpacker.unpackLong(), unpackBytes(unpacker));
+      case SUBSCRIBE:
+        return new PeerMessage.Subscribe(unpacker.unpackLong(), unpacker.unpackLong());
+      case STORE_CHANGES:
+        return unpackStoreChanges(unpacker);
       default:
         throw new IllegalArgumentException("unknown frame type " + type);
     }
@@ -160,6 +197,7 @@
     final long version = unpacker.unpackLong();
     final long proofAgeMs = unpacker.unpackLong();
     final long revision = unpacker.unpackLong();
+    final boolean watching = unpacker.unpackBoolean();
     int count = checkCount(unpacker.unpackArrayHeader(), MAX_ITEMS);
     List<PeerMessage.PrimaryStatus> groups = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -176,7 +214,32 @@
               unpacker.unpackString(),
               unpacker.unpackLong()));
     }
-    return new PeerMessage.Pong(sequence, version, proofAgeMs, revision, groups);
+    int unreachable = checkCount(unpacker.unpackArrayHeader(), MAX_ITEMS);
+    List<String> targets = new ArrayList<>();
+    for (int i = 0; i < unreachable; i++) {
+      targets.add(unpacker.unpackString());
+    }
+    return new PeerMessage.Pong(sequence, version, proofAgeMs, revision, watching, groups, targets);
+  }
+
+  private static byte[] unpackBytes(MessageUnpacker unpacker) throws IOException {
+    return unpacker.readPayload(checkCount(unpacker.unpackBinaryHeader(), MAX_FRAME_BYTES));
+  }
+
+  private static PeerMessage unpackStoreChanges(MessageUnpacker unpacker) throws IOException {
+    final boolean snapshot = unpacker.unpackBoolean();
+    final long fromRevision = unpacker.unpackLong();
+    final long revision = unpacker.unpackLong();
+    final long failureAgeMs = unpacker.unpackLong();
+    int count = checkCount(unpacker.unpackArrayHeader(), MAX_ITEMS);
+    List<Item> items = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String key = unpacker.unpackString();
+      long itemRevision = unpacker.unpackLong();
+      byte[] value = unpacker.unpackBoolean() ? unpackBytes(unpacker) : null;
+      items.add(new Item(key, value, itemRevision));
+    }
+    return new PeerMessage.StoreChanges(snapshot, fromRevision, revision, failureAgeMs, items);
   }
 
   private static PeerMessage unpackTokenRequest(MessageUnpacker unpacker) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -8,17 +8,17 @@
 import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.promotion.ForwardingPeers;
 import io.hickorydrift.core.promotion.PrimaryReport;
+import io.hickorydrift.core.relay.RelaySelection;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
-import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
 
 /**
  * Manages the connections to other instances, which carry observed positions of primaries, proofs
@@ -28,15 +28,19 @@
  * underestimated. Thread safety: confined to the loop's thread.
  */
 final class Peers implements OutboundPeerLink.Listener {
-  private static final long PING_INTERVAL_MS = 400;
-  private static final int PROOF_PROVIDERS = 3;
+  private static final long HEARTBEAT_INTERVAL_MS = 400;
+  private static final int PROOF_PROVIDERS = 2;
+  // For how long other targets are preferred to one that a peer cannot reach.
+  private static final long AVOID_UNREACHABLE_NANOS = 600_000_000L;
 
   private final EventLoop loop;
+  private final PeerTraffic traffic;
   private final String self;
   private final FleetMembership fleet;
-  private final PlatformAdapter platform;
   private final Declarations declarations;
+  private final DeclarationExchange declarationExchange;
   private final Directory directory;
+  private final TargetPools pools;
   private final PrimaryProber prober;
   private final Map<String, OutboundPeerLink> outboundLinks = new HashMap<>();
   private final HomeRouter homes;
@@ -45,22 +49,27 @@
   private OrganisationRateLimiter limits;
   private ForwardedStatementService service;
   private StoreSync sync;
+  private RelayService relay;
 
   Peers(
       EventLoop loop,
+      PeerTraffic traffic,
       String self,
       FleetMembership fleet,
-      PlatformAdapter platform,
       Declarations declarations,
+      DeclarationExchange declarationExchange,
       Directory directory,
+      TargetPools pools,
       PrimaryProber prober,
       HomeRouter homes) {
     this.loop = loop;
+    this.traffic = traffic;
     this.self = self;
     this.fleet = fleet;
-    this.platform = platform;
     this.declarations = declarations;
+    this.declarationExchange = declarationExchange;
     this.directory = directory;
+    this.pools = pools;
     this.prober = prober;
     this.homes = homes;
   }
@@ -68,16 +77,19 @@
   void start(
       OrganisationRateLimiter rateLimiter,
       ForwardedStatementService forwardedStatementService,
-      StoreSync storeSync) {
+      StoreSync storeSync,
+      RelayService relayService) {
     sync = storeSync;
     limits = rateLimiter;
     service = forwardedStatementService;
-    loop.every(PING_INTERVAL_MS, this::pingAll);
+    relay = relayService;
+    loop.every(HEARTBEAT_INTERVAL_MS, this::updateLinks);
   }
 
   /** Returns the handler of a connection that a peer opened. */
   InboundPeerLink serve(TcpChannel channel) {
-    InboundPeerLink inbound = new InboundPeerLink(channel, this::onRequest, this::onInboundClosed);
+    InboundPeerLink inbound =
+        new InboundPeerLink(loop, traffic, channel, this::onRequest, this::onInboundClosed);
     inboundLinks.add(inbound);
     return inbound;
   }
@@ -85,14 +97,19 @@
   private void onInboundClosed(InboundPeerLink inbound) {
     inboundLinks.remove(inbound);
     service.onLinkClosed(inbound);
+    relay.onLinkClosed(inbound);
   }
 
-  private void pingAll() {
+  /** Opens and closes links as members come and go, and sends the heartbeats that are due. */
+  void updateLinks() {
     if (closed) {
       return;
     }
     Map<String, String> members = new HashMap<>(fleet.otherAddresses());
-    members.keySet().retainAll(homes.linkedPeers());
+    Set<String> needed = new HashSet<>(homes.linkedPeers());
+    Set<String> relays = linkedRelays();
+    needed.addAll(relays);
+    members.keySet().retainAll(needed);
     outboundLinks
         .values()
         .removeIf(
@@ -106,26 +123,49 @@
     members.forEach(
         (peer, address) ->
             outboundLinks.computeIfAbsent(
-                peer, key -> new OutboundPeerLink(loop, self, peer, address, this)));
-    outboundLinks.values().forEach(OutboundPeerLink::ping);
+                peer, key -> new OutboundPeerLink(loop, traffic, self, peer, address, this)));
+    for (OutboundPeerLink link : List.copyOf(outboundLinks.values())) {
+      link.heartbeat(relays.contains(link.peer()) || homes.servesWith(link.peer()));
+    }
+    List.copyOf(inboundLinks).forEach(InboundPeerLink::closeIfSilent);
+  }
+
+  /**
+   * Returns the candidates for the own failure domain's relay. A relay also links to those of the
+   * other failure domains, from which it takes proofs that it is up to date.
+   */
+  private Set<String> linkedRelays() {
+    Set<String> relays = new HashSet<>(fleet.relayCandidates());
+    if (sync.isWatching()) {
+      relays.addAll(fleet.relaysOfOtherDomains());
+    }
+    relays.remove(self);
+    return relays;
+  }
+
+  /** Returns what is known of a candidate for the relay. */
+  RelaySelection.Status relayStatus(String candidate) {
+    OutboundPeerLink link = outboundLinks.get(candidate);
+    if (link == null || !link.isUp()) {
+      return RelaySelection.Status.UNREACHABLE;
+    }
+    PeerMessage.Pong pong = link.lastPong();
+    long proofAgeMs = pong.proofAgeMs() < 0 ? -1 : pong.proofAgeMs() + link.statusAgeMs();
+    return new RelaySelection.Status(true, pong.watching(), proofAgeMs);
   }
 
   /**
    * Returns whether this instance queries the store often in order to provide its peers with
-   * proofs. The few highest ranked of the instances that reach each other do so. An instance that
-   * serves no group does not, because its peers have no links to it.
+   * proofs. The few highest ranked of the relays that reach each other do so.
    */
   boolean providesProofs() {
-    if (!homes.servesAnyGroup()) {
-      return false;
-    }
-    List<String> liveInstances = new ArrayList<>(List.of(self));
-    for (OutboundPeerLink link : outboundLinks.values()) {
-      if (link.isUp() && link.lastPong().proofAgeMs() >= 0) {
-        liveInstances.add(link.peer());
+    List<String> liveRelays = new ArrayList<>(List.of(self));
+    for (OutboundPeerLink link : liveLinks()) {
+      if (link.lastPong().watching() && link.lastPong().proofAgeMs() >= 0) {
+        liveRelays.add(link.peer());
       }
     }
-    return Rendezvous.rank("proofs", liveInstances).indexOf(self) < PROOF_PROVIDERS;
+    return Rendezvous.rank("proofs", liveRelays).indexOf(self) < PROOF_PROVIDERS;
   }
 
   /** Returns the reports of live peers on the primary of {@code group}, by peer. */
@@ -159,7 +199,7 @@
     closed = true;
     outboundLinks.values().forEach(OutboundPeerLink::close);
     outboundLinks.clear();
-    inboundLinks.forEach(InboundPeerLink::close);
+    List.copyOf(inboundLinks).forEach(InboundPeerLink::close);
   }
 
   /** Returns the link to {@code peer}, or null. */
@@ -167,6 +207,12 @@
     return outboundLinks.get(peer);
   }
 
+  /** Returns whether there is a link to {@code peer} that is down. */
+  boolean isDown(String peer) {
+    OutboundPeerLink link = outboundLinks.get(peer);
+    return link != null && !link.isUp();
+  }
+
   /** Returns the links that are up. */
   List<OutboundPeerLink> liveLinks() {
     List<OutboundPeerLink> liveLinks = new ArrayList<>();
@@ -195,18 +241,33 @@
       service.endTransaction(inbound, end.transaction());
     } else if (request instanceof PeerMessage.TokenRequest tokenRequest) {
       limits.onTokenRequest(inbound, tokenRequest.request());
-    } else if (request instanceof PeerMessage.DeclarationRequest) {
-      byte[] value = declarations.storedValue();
-      if (value != null) {
-        inbound.send(new PeerMessage.DeclarationResponse(value));
+    } else if (request instanceof PeerMessage.DeclarationRequest declarationRequest) {
+      PeerMessage change = declarationExchange.changeSince(declarationRequest.version());
+      if (change != null) {
+        inbound.send(change);
       }
+    } else if (request instanceof PeerMessage.Subscribe subscription) {
+      relay.subscribe(inbound, subscription);
     }
   }
 
   private PeerMessage.Pong createPong(PeerMessage.Ping ping) {
+    List<PeerMessage.PrimaryStatus> statuses =
+        ping.needsStatus() ? primaryStatuses(ping.instance()) : List.of();
+    return new PeerMessage.Pong(
+        ping.sequence(),
+        declarations.current().version(),
+        declarations.isUnreadable() ? -1 : declarations.proofAgeMs(),
+        sync.revision(),
+        sync.isWatching(),
+        statuses,
+        ping.needsStatus() ? pools.unreachableTargets() : List.of());
+  }
+
+  private List<PeerMessage.PrimaryStatus> primaryStatuses(String peer) {
     List<PeerMessage.PrimaryStatus> statuses = new ArrayList<>();
     for (GroupState group : directory.groups()) {
-      if (!homes.mayServe(group.name(), ping.instance())) {
+      if (!homes.mayServe(group.name(), peer)) {
         continue;
       }
       Position position = group.observedPositions().latest();
@@ -224,12 +285,7 @@
               primary == null ? "" : primary.entry().id(),
               prober.unreachableMs(primary)));
     }
-    return new PeerMessage.Pong(
-        ping.sequence(),
-        declarations.current().version(),
-        declarations.proofAgeMs(),
-        sync.revision(),
-        statuses);
+    return statuses;
   }
 
   @Override
@@ -242,11 +298,10 @@
             .add(status.position(), pingNanos - TimeUnit.MILLISECONDS.toNanos(status.ageMs()));
       }
     }
+    pools.avoidUnreachable(pong.unreachableTargets(), AVOID_UNREACHABLE_NANOS);
     sync.onPeerRevision(pong.revision());
-    long version = declarations.current().version();
-    if (pong.version() > version) {
-      link.send(new PeerMessage.DeclarationRequest());
-    } else if (pong.version() == version && pong.proofAgeMs() >= 0) {
+    declarationExchange.onPeerVersion(link, pong.version());
+    if (pong.version() == declarations.current().version() && pong.proofAgeMs() >= 0) {
       declarations.confirmCurrentAt(
           pingNanos - TimeUnit.MILLISECONDS.toNanos(pong.proofAgeMs() + 1));
     }
@@ -257,12 +312,11 @@
     if (message instanceof PeerMessage.TokenResponse response) {
       limits.onTokenResponse(response.answer());
     } else if (message instanceof PeerMessage.DeclarationResponse response) {
-      try {
-        declarations.accept(platform.decodeDeclaration(response.value()), response.value());
-      } catch (IllegalArgumentException e) {
-        Logger.warn(
-            "event=declaration_unreadable peer={} reason=\"{}\"", link.peer(), e.getMessage());
-      }
+      declarationExchange.onResponse(link.peer(), response);
+    } else if (message instanceof PeerMessage.DeclarationChange change) {
+      declarationExchange.onChange(link.peer(), change);
+    } else if (message instanceof PeerMessage.StoreChanges changes) {
+      sync.onChanges(link, changes);
     }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -16,6 +17,8 @@
  * safety: confined to the loop's thread.
  */
 final class RemoteTransaction implements OpenTransaction {
+  private static final int MAX_HOME_ATTEMPTS = 1;
+
   private final EventLoop loop;
   private final HomeRouter homes;
   private final Route route;
@@ -24,7 +27,9 @@
   private final boolean readOnly;
   private OutboundPeerLink link;
   private long transactionNumber;
+  private boolean begun;
   private boolean wrote;
+  private int homeAttempts;
   private boolean ended;
   private boolean running;
   private long lastUsedNanos;
@@ -54,32 +59,55 @@
       transactionNumber = link == null ? 0 : link.nextTransactionNumber();
     }
     if (link == null || !link.isUp()) {
-      onOutcome.accept(
-          StatementOutcome.failed(FailureCode.ABORTED, "home unreachable; retry in 500 ms", after));
+      onOutcome.accept(homeUnreachable(after));
       return;
     }
-    wrote |= !commit && session.writes(next);
     running = true;
     boolean counted = homes.isDirect(route.group());
-    boolean sent =
-        link.forward(
-            session.forwardMessage(next, transactionNumber, readOnly, organisation, route, counted),
-            route.statementTimeoutMs(),
-            outcome -> {
-              running = false;
-              lastUsedNanos = loop.nowNanos();
-              if (!ended) {
-                onOutcome.accept(
-                    outcome == null ? connectionLost(commit, after) : settle(commit, outcome));
-              }
-            });
-    if (!sent) {
-      running = false;
-      onOutcome.accept(
-          StatementOutcome.failed(FailureCode.ABORTED, "home unreachable; retry in 500 ms", after));
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - receivedNanos);
+    link.forward(
+        session.forwardMessage(
+            next, transactionNumber, readOnly, organisation, route, counted, ageMs),
+        route.statementTimeoutMs(),
+        new OutboundPeerLink.ForwardListener() {
+          @Override
+          public void answered(StatementOutcome outcome) {
+            begun = true;
+            wrote |= !commit && session.writes(next);
+            end(settle(commit, outcome), onOutcome);
+          }
+
+          @Override
+          public void lost() {
+            wrote |= !commit && session.writes(next);
+            end(connectionLost(commit, after), onOutcome);
+          }
+
+          @Override
+          public void notSent() {
+            if (begun || ended || homeAttempts >= MAX_HOME_ATTEMPTS) {
+              end(homeUnreachable(after), onOutcome);
+              return;
+            }
+            homeAttempts++;
+            link = null;
+            RemoteTransaction.this.run(next, receivedNanos, onOutcome);
+          }
+        });
+  }
+
+  private void end(StatementOutcome outcome, Consumer<StatementOutcome> onOutcome) {
+    running = false;
+    lastUsedNanos = loop.nowNanos();
+    if (!ended) {
+      onOutcome.accept(outcome);
     }
   }
 
+  private static StatementOutcome homeUnreachable(SessionState after) {
+    return StatementOutcome.failed(FailureCode.ABORTED, "home unreachable; retry in 500 ms", after);
+  }
+
   private StatementOutcome connectionLost(boolean commit, SessionState after) {
     if (!commit) {
       return StatementOutcome.failed(FailureCode.ABORTED, "connection to home lost", after);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -71,38 +72,49 @@
   private void runAt(OutboundPeerLink home) {
     homeAttempts++;
     boolean counted = context.homes().isDirect(route.group());
-    boolean sent =
-        home.forward(
-            session.forwardMessage(statement, 0, false, admission.organisation(), route, counted),
-            route.statementTimeoutMs(),
-            this::answered);
-    if (!sent) {
-      fail(FailureCode.BUSY, "home unreachable; retry in 300 ms");
-    }
-  }
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(context.loop().nowNanos() - receivedNanos);
+    home.forward(
+        session.forwardMessage(
+            statement, 0, false, admission.organisation(), route, counted, ageMs),
+        Math.max(0, route.statementTimeoutMs() - ageMs),
+        new OutboundPeerLink.ForwardListener() {
+          @Override
+          public void answered(StatementOutcome outcome) {
+            if (outcome.failure() == null && writes) {
+              session.recordCommit(route.group(), outcome.position());
+            }
+            onOutcome.accept(outcome);
+          }
 
-  private void answered(StatementOutcome outcome) {
-    if (outcome == null) {
-      homeLost();
-      return;
-    }
-    if (outcome.failure() == null && writes) {
-      session.recordCommit(route.group(), outcome.position());
-    }
-    onOutcome.accept(outcome);
+          @Override
+          public void lost() {
+            homeLost();
+          }
+
+          @Override
+          public void notSent() {
+            retryAtNextHome(FailureCode.BUSY, "home unreachable; retry in 300 ms");
+          }
+        });
   }
 
   /** Retries a read once at the next home. A write is in doubt: it may have taken effect. */
   private void homeLost() {
     if (writes) {
       fail(FailureCode.IN_DOUBT, "connection to home lost");
-      return;
+    } else {
+      retryAtNextHome(FailureCode.FAILED, "connection to home lost");
     }
-    OutboundPeerLink next = context.homes().remoteLink(route.group(), needsPrimary(route, false));
-    if (next != null && homeAttempts < MAX_HOME_ATTEMPTS) {
+  }
+
+  private void retryAtNextHome(FailureCode code, String reason) {
+    OutboundPeerLink next = context.homes().remoteLink(route.group(), needsPrimary(route, writes));
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(context.loop().nowNanos() - receivedNanos);
+    boolean inTime = ageMs < route.statementTimeoutMs();
+    if (next != null && homeAttempts < MAX_HOME_ATTEMPTS && inTime) {
       runAt(next);
     } else {
-      fail(FailureCode.FAILED, "connection to home lost");
+      fail(code, reason);
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -1,103 +1,241 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.directory.Directory;
-import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.relay.RelaySelection;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
 import io.hickorydrift.proxy.port.KeyValueStore.ReadResult;
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
-import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 
 /**
- * Applies changes in the store to the declaration, the targets and the fleet's membership. Reads a
- * snapshot of all keys, then issues one watch after another; if the store no longer has the history
- * that a watch needs, reads a new snapshot.
+ * Keeps this instance's copy of the store's contents up to date. Follows a relay of the failure
+ * domain, or watches the store itself if {@link RelaySelection} says so: reads a snapshot of all
+ * keys, then issues one watch after another; if the store no longer has the history that a watch
+ * needs, reads a new snapshot.
  *
- * <p>Invariant: after each result, all changes up to the store revision in it have been applied.
- * Thread safety: confined to the loop's thread.
+ * <p>Invariant: after each result, all changes up to {@link #revision} have been applied; the
+ * revision never decreases. Thread safety: confined to the loop's thread.
  */
 final class StoreSync {
   // The result of a watch proves that keys are current, so it has to arrive often.
   private static final long WATCH_WAIT_MS = 900;
-  // Used while peers provide such proofs. A change still ends the watch at once.
+  // Used while other relays provide such proofs. A change still ends the watch at once.
   private static final long LONG_WATCH_WAIT_MS = 8_000;
-  private static final long LONG_WATCH_MAX_PROOF_AGE_MS = 2_900;
-  // An instance that serves no group needs target entries only when it takes over a group, and
-  // receives new declarations from its peers. The bounds for both are at least 3 s, well above this
-  // pause.
-  private static final long WATCH_PAUSE_MS = 2_000;
-  // Maximum time for which a watch may stay behind the peers. Also the minimum age of a long watch
-  // before it is replaced.
-  private static final long STALE_WATCH_NANOS = 700_000_000L;
+  private static final long LONG_WATCH_MAX_PROOF_AGE_MS = 2_000;
+  // Pause after a change, so that a series of changes costs one call. Short beside the bounds for
+  // declarations, keys and targets, which are at least 3 s.
+  private static final long CHANGE_PAUSE_MS = 150;
+  // Maximum time for which this instance may stay behind its peers. Above the pause after a change
+  // at their relays and at the own one.
+  private static final long STALE_NANOS = 1_000_000_000L;
   // While the store is unreachable, short watches detect its recovery early.
   private static final long UNREACHABLE_WATCH_WAIT_MS = 1;
   private static final long RETRY_MS = 250;
-  // Entries whose leases expired during a store outage are rewritten within about two seconds.
-  private static final long ENTRY_RECOVERY_NANOS = 2_500_000_000L;
+  // A relay finds the recovery of the store and passes it on; the others seldom need to.
+  private static final long NON_CANDIDATE_RETRY_MS = 2_000;
+  // Time for the other instances of a fleet that starts to register themselves.
+  private static final long START_PAUSE_MS = 300;
   private static final String ALL_KEYS = "";
 
   private final EventLoop loop;
   private final KeyValueStore store;
-  private final PlatformAdapter platform;
+  private final StoreContents contents;
   private final Declarations declarations;
-  private final Directory directory;
   private final FleetMembership fleet;
-  private final Map<String, EventLoop.Timer> removals = new HashMap<>();
+  private final Peers peers;
+  private final RelayService relay;
+  private final String self;
+  private final RelaySelection selection;
   private long revision;
-  private final BooleanSupplier providesProofs;
-  private final BooleanSupplier servesAnyGroup;
+  private boolean membersRead;
+  private boolean loaded;
+  private boolean watching;
+  private boolean loading;
+  private OutboundPeerLink followed;
+  private long followedConnection;
+  private boolean subscribed;
   private boolean paused;
   private long watchNumber;
   private long watchStartedNanos;
   private long watchWaitMs;
   private long behindSinceNanos;
   private boolean reachable;
-  private long lastFailureNanos;
-  private boolean loaded;
   private Status lastFailure;
 
   StoreSync(
       EventLoop loop,
       KeyValueStore store,
-      PlatformAdapter platform,
+      StoreContents contents,
       Declarations declarations,
-      Directory directory,
       FleetMembership fleet,
-      BooleanSupplier providesProofs,
-      BooleanSupplier servesAnyGroup) {
-    this.providesProofs = providesProofs;
-    this.servesAnyGroup = servesAnyGroup;
+      Peers peers,
+      RelayService relay,
+      String self) {
     this.loop = loop;
     this.store = store;
-    this.platform = platform;
+    this.contents = contents;
     this.declarations = declarations;
-    this.directory = directory;
     this.fleet = fleet;
-    lastFailureNanos = loop.nowNanos();
+    this.peers = peers;
+    this.relay = relay;
+    this.self = self;
+    selection = new RelaySelection(self, loop.nowNanos());
   }
 
-  /** Returns whether a snapshot has been read. */
+  /** Returns whether a snapshot has been applied. */
   boolean loaded() {
-    return loaded;
+    return loaded && declarations.storedValue() != null;
   }
 
   /** Returns whether entries that expired during a store outage have had time to be rewritten. */
   boolean settled() {
-    return loaded && reachable && loop.nowNanos() - lastFailureNanos >= ENTRY_RECOVERY_NANOS;
+    return loaded && (watching ? reachable : subscribed) && contents.settled();
+  }
+
+  /** Returns whether this instance watches the store itself. */
+  boolean isWatching() {
+    return watching && loaded && reachable;
   }
 
-  /** Reads a snapshot, then watches for changes. */
+  long revision() {
+    return revision;
+  }
+
+  /** Reads the members of the fleet, to find a relay, and then begins to follow or to watch. */
   void start() {
+    readMembers(true);
+  }
+
+  private void readMembers(boolean mayRepeat) {
+    store.staleRange(
+        FleetMembership.keyPrefix(),
+        "",
+        result -> {
+          result.items().forEach(contents::apply);
+          if (mayRepeat && fleet.relayCandidates().size() < 2) {
+            loop.after(START_PAUSE_MS, () -> readMembers(false));
+            return;
+          }
+          Logger.info("event=relay_candidates candidates={}", fleet.relayCandidates());
+          membersRead = true;
+          peers.updateLinks();
+          tick();
+        });
+  }
+
+  /** Follows the relay that the selection chooses, or watches the store. */
+  void tick() {
+    if (!membersRead) {
+      return;
+    }
+    String choice = selection.choose(fleet.relayCandidates(), peers::relayStatus, loop.nowNanos());
+    if (choice == null) {
+      return;
+    }
+    if (choice.equals(self)) {
+      stopFollowing();
+      if (!watching) {
+        beginWatching();
+      }
+    } else {
+      follow(peers.link(choice));
+      checkSubscription();
+    }
+    replaceLongWatch();
+  }
+
+  private void beginWatching() {
+    Logger.info("event=store_watch_started revision={}", revision);
+    watching = true;
+    if (loaded) {
+      watch();
+    } else {
+      load();
+    }
+  }
+
+  private void stopFollowing() {
+    followed = null;
+    subscribed = false;
+  }
+
+  private void follow(OutboundPeerLink link) {
+    if (link == followed && link.connectionNumber() == followedConnection) {
+      return;
+    }
+    followed = link;
+    followedConnection = link.connectionNumber();
+    subscribed = false;
+    subscribe();
+  }
+
+  /** Repeats a subscription that was not answered, and watches the store meanwhile. */
+  private void checkSubscription() {
+    if (!subscribed && loop.nowNanos() - behindSinceNanos > STALE_NANOS) {
+      subscribe();
+      if (!watching) {
+        beginWatching();
+      }
+    }
+  }
+
+  private void subscribe() {
+    Logger.info("event=relay_subscribed relay={} revision={}", followed.peer(), revision);
+    behindSinceNanos = loop.nowNanos();
+    followed.send(
+        new PeerMessage.Subscribe(loaded ? revision : 0, declarations.current().version()));
+  }
+
+  /** Applies changes that the followed relay sent; those of another peer are ignored. */
+  void onChanges(OutboundPeerLink link, PeerMessage.StoreChanges changes) {
+    if (link != followed) {
+      return;
+    }
+    contents.recordFailure(changes.failureAgeMs());
+    boolean gap = !changes.snapshot() && (!loaded || changes.fromRevision() > revision);
+    if (gap) {
+      Logger.warn(
+          "event=relay_gap relay={} revision={} from={}",
+          link.peer(),
+          revision,
+          changes.fromRevision());
+      subscribe();
+      return;
+    }
+    if (changes.revision() >= revision) {
+      applyRelayed(changes);
+    }
+    subscribed = true;
+    if (watching) {
+      Logger.info("event=store_watch_ended relay={} revision={}", link.peer(), revision);
+      watching = false;
+      watchNumber++;
+    }
+  }
+
+  private void applyRelayed(PeerMessage.StoreChanges changes) {
+    long before = revision;
+    revision = changes.revision();
+    loaded = true;
+    if (changes.snapshot()) {
+      contents.applySnapshot(changes.items());
+      relay.onSnapshot(revision, contents.failureAgeMs());
+      return;
+    }
+    changes.items().forEach(contents::apply);
+    if (revision > before) {
+      relay.onChanges(before, revision, contents.failureAgeMs(), changes.items());
+    }
+  }
+
+  private void load() {
+    if (loading) {
+      return;
+    }
+    loading = true;
     watchNumber++;
     load("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
   }
@@ -108,7 +246,8 @@
         after,
         result -> {
           if (result.status() != Status.OK) {
-            onFailure(result.status(), this::start);
+            loading = false;
+            onFailure(result.status(), this::load);
             return;
           }
           items.addAll(result.items());
@@ -118,33 +257,23 @@
             load(last, items, requestNanos, snapshotRevision);
             return;
           }
-          markReachable();
-          applySnapshot(items);
-          revision = snapshotRevision;
-          loaded = true;
-          declarations.confirmCurrentAt(requestNanos);
-          watch();
+          loading = false;
+          onLoaded(items, requestNanos, snapshotRevision);
         });
   }
 
-  private void applySnapshot(List<Item> items) {
-    Set<String> targets = new HashSet<>();
-    Set<String> members = new HashSet<>();
-    for (Item item : items) {
-      apply(item);
-      if (item.key().startsWith(platform.targetsPrefix())) {
-        targets.add(item.key());
-      } else if (fleet.ownsKey(item.key())) {
-        members.add(item.key());
-      }
+  private void onLoaded(List<Item> items, long requestNanos, long snapshotRevision) {
+    markReachable();
+    if (snapshotRevision >= revision) {
+      contents.applySnapshot(items);
+      revision = snapshotRevision;
+      loaded = true;
+      declarations.confirmCurrentAt(requestNanos);
+      relay.onSnapshot(revision, contents.failureAgeMs());
     }
-    for (TargetEntry entry : directory.entries()) {
-      String key = platform.targetsPrefix() + entry.id();
-      if (!targets.contains(key)) {
-        removeTarget(key);
-      }
+    if (watching) {
+      watch();
     }
-    fleet.retainMembers(members);
   }
 
   private void watch() {
@@ -169,65 +298,72 @@
       return UNREACHABLE_WATCH_WAIT_MS;
     }
     boolean peersProvideProofs = declarations.proofAgeMs() < LONG_WATCH_MAX_PROOF_AGE_MS;
-    return providesProofs.getAsBoolean() || !peersProvideProofs
-        ? WATCH_WAIT_MS
-        : LONG_WATCH_WAIT_MS;
+    return peers.providesProofs() || !peersProvideProofs ? WATCH_WAIT_MS : LONG_WATCH_WAIT_MS;
   }
 
   /**
-   * Compares the store revision that a peer has applied with that of this instance. A watch that
-   * stays behind the peers for too long counts as dead and is replaced.
+   * Compares the store revision that a peer has applied with that of this instance. A watch or a
+   * subscription that stays behind the peers for too long counts as dead and is replaced.
    */
   void onPeerRevision(long peerRevision) {
-    if (peerRevision <= revision || !loaded || !reachable || paused) {
+    boolean comparable = watching ? reachable && !paused : subscribed;
+    if (peerRevision <= revision || !loaded || !comparable) {
       behindSinceNanos = loop.nowNanos();
-    } else if (loop.nowNanos() - behindSinceNanos > STALE_WATCH_NANOS) {
+    } else if (loop.nowNanos() - behindSinceNanos > STALE_NANOS) {
       Logger.warn("event=watch_behind revision={} peer_revision={}", revision, peerRevision);
       behindSinceNanos = loop.nowNanos();
-      watch();
+      if (watching) {
+        watch();
+      } else {
+        subscribe();
+      }
     }
   }
 
   /** Replaces a long watch by a short one when peers no longer provide proofs. */
-  void tick() {
-    boolean longWatch = loaded && reachable && watchWaitMs == LONG_WATCH_WAIT_MS;
-    boolean recentlyStarted = loop.nowNanos() - watchStartedNanos < STALE_WATCH_NANOS;
-    if (longWatch && !recentlyStarted && declarations.proofAgeMs() > LONG_WATCH_MAX_PROOF_AGE_MS) {
+  private void replaceLongWatch() {
+    boolean longWatch = watching && loaded && reachable && watchWaitMs == LONG_WATCH_WAIT_MS;
+    boolean recentlyStarted = loop.nowNanos() - watchStartedNanos < STALE_NANOS;
+    boolean proofTooOld = declarations.proofAgeMs() > LONG_WATCH_MAX_PROOF_AGE_MS;
+    if (longWatch && !paused && !recentlyStarted && proofTooOld) {
       watch();
     }
   }
 
-  long revision() {
-    return revision;
-  }
-
   private void onWatchResult(ReadResult result, long requestNanos) {
     if (result.status() == Status.OK) {
       markReachable();
-      result.items().forEach(this::apply);
-      revision = Math.max(revision, result.revision());
-      declarations.confirmCurrentAt(requestNanos);
-      continueWatching();
+      applyChanges(result, requestNanos);
     } else if (result.status() == Status.HISTORY_LOST) {
       Logger.info("event=history_lost revision={}", revision);
-      start();
+      load();
     } else {
       onFailure(result.status(), this::watch);
     }
   }
 
-  private void continueWatching() {
-    boolean peersProvideProofs = declarations.proofAgeMs() < LONG_WATCH_MAX_PROOF_AGE_MS;
-    if (providesProofs.getAsBoolean() || servesAnyGroup.getAsBoolean() || !peersProvideProofs) {
+  private void applyChanges(ReadResult result, long requestNanos) {
+    List<Item> entries = new ArrayList<>();
+    for (Item item : result.items()) {
+      contents.apply(item);
+      if (contents.isRelayed(item)) {
+        entries.add(item);
+      }
+    }
+    declarations.confirmCurrentAt(requestNanos);
+    long before = revision;
+    revision = Math.max(revision, result.revision());
+    if (revision == before) {
       watch();
       return;
     }
+    relay.onChanges(before, revision, contents.failureAgeMs(), entries);
     paused = true;
     long number = watchNumber;
     loop.after(
-        WATCH_PAUSE_MS,
+        CHANGE_PAUSE_MS,
         () -> {
-          if (number == watchNumber) {
+          if (number == watchNumber && watching) {
             watch();
           }
         });
@@ -247,75 +383,15 @@
     }
     reachable = false;
     lastFailure = status;
-    lastFailureNanos = loop.nowNanos();
+    contents.recordFailure(0);
     store.closeIdleConnections();
-    loop.after(RETRY_MS, retry);
-  }
-
-  private void apply(Item item) {
-    String key = item.key();
-    if (key.equals(platform.declarationKey())) {
-      applyDeclaration(item);
-    } else if (key.startsWith(platform.targetsPrefix())) {
-      applyTarget(item);
-    } else if (fleet.ownsKey(key)) {
-      fleet.apply(item);
-    }
-  }
-
-  private void applyDeclaration(Item item) {
-    if (item.value() == null) {
-      return;
-    }
-    try {
-      declarations.accept(platform.decodeDeclaration(item.value()), item.value());
-    } catch (IllegalArgumentException e) {
-      declarations.markUnreadable();
-      Logger.warn(
-          "event=declaration_unreadable revision={} reason=\"{}\"",
-          item.revision(),
-          e.getMessage());
-    }
-  }
-
-  private void applyTarget(Item item) {
-    if (item.value() == null) {
-      removeTarget(item.key());
-      return;
-    }
-    TargetEntry entry = platform.decodeTarget(item.key(), item.value());
-    if (entry == null) {
-      Logger.warn("event=target_entry_unreadable key={}", item.key());
-      directory.remove(targetId(item.key()));
-      return;
-    }
-    EventLoop.Timer removal = removals.remove(item.key());
-    if (removal != null) {
-      removal.cancel();
-    }
-    directory.put(entry, item.revision());
-  }
-
-  private void removeTarget(String key) {
-    long sinceFailureNanos = loop.nowNanos() - lastFailureNanos;
-    if (sinceFailureNanos >= ENTRY_RECOVERY_NANOS) {
-      directory.remove(targetId(key));
-      return;
-    }
-    if (!removals.containsKey(key)) {
-      long waitMs = TimeUnit.NANOSECONDS.toMillis(ENTRY_RECOVERY_NANOS - sinceFailureNanos);
-      removals.put(
-          key,
-          loop.after(
-              waitMs,
-              () -> {
-                removals.remove(key);
-                directory.remove(targetId(key));
-              }));
-    }
-  }
-
-  private String targetId(String key) {
-    return key.substring(platform.targetsPrefix().length());
+    long number = watchNumber;
+    loop.after(
+        fleet.relayCandidates().contains(self) || !loaded ? RETRY_MS : NON_CANDIDATE_RETRY_MS,
+        () -> {
+          if (watching && number == watchNumber) {
+            retry.run();
+          }
+        });
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -35,6 +35,35 @@
           .labelNames("organisation", "role")
           .register(registry);
 
+  private final Counter storeCalls =
+      Counter.builder()
+          .name("hickorydrift_store_calls_total")
+          .help("Calls to the platform's store, by kind")
+          .labelNames("kind")
+          .register(registry);
+  private final Counter peerBytes =
+      Counter.builder()
+          .name("hickorydrift_peer_bytes_total")
+          .help("Bytes sent to other instances, by message type and whether they cross domains")
+          .labelNames("type", "crossing")
+          .register(registry);
+
+  /** Counts a call to the platform's store. */
+  public void recordStoreCall(String kind) {
+    storeCalls.labelValues(kind).inc();
+  }
+
+  /**
+   * Counts bytes sent to another instance.
+   *
+   * @param type type of the message
+   * @param crossing whether the other instance is in another failure domain
+   * @param bytes length of the message
+   */
+  public void recordPeerBytes(String type, boolean crossing, int bytes) {
+    peerBytes.labelValues(type, crossing ? "other_domain" : "same_domain").inc(bytes);
+  }
+
   /** Records the latency of a completed request under its numeric result code. */
   public void recordRequest(String organisation, String operation, ResultCode code, long nanos) {
     recordRequest(organisation, operation, String.valueOf(code.number()), nanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
@@ -54,6 +54,12 @@
   /** Reads the items under {@code prefix} whose keys follow {@code after}, which may be empty. */
   void range(String prefix, String after, Consumer<ReadResult> onResult);
 
+  /**
+   * Reads the items under {@code prefix} as {@link #range} does, at a fraction of its cost; the
+   * result may be seconds old.
+   */
+  void staleRange(String prefix, String after, Consumer<ReadResult> onResult);
+
   /** Waits up to {@code waitMs} for changes under {@code prefix} after {@code afterRevision}. */
   void watch(String prefix, long afterRevision, long waitMs, Consumer<ReadResult> onResult);
 
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.proxy.net.OutBuffer;
+import io.hickorydrift.proxy.port.KeyValueStore;
 import java.nio.ByteBuffer;
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -18,18 +19,23 @@
 class PeerMessageCodecTest {
   static List<PeerMessage> messages() {
     return List.of(
-        new PeerMessage.Ping("gw-1", 7),
+        new PeerMessage.Ping("gw-1", 7, true),
         new PeerMessage.Pong(
             7,
             12,
             -1,
             530,
+            true,
             List.of(
                 new PeerMessage.PrimaryStatus("g", new Position(3, 1207), 40, "t1", 0),
-                new PeerMessage.PrimaryStatus("h", null, 0, "", 900))),
+                new PeerMessage.PrimaryStatus("h", null, 0, "", 900)),
+            List.of("t4")),
         new PeerMessage.TokenRequest(new GrantRequest(4, "red", 1.5, List.of(1L, 2L))),
         new PeerMessage.TokenResponse(new GrantAnswer(4, "red", 9, 0.25)),
-        new PeerMessage.DeclarationRequest());
+        new PeerMessage.DeclarationRequest(12),
+        new PeerMessage.Subscribe(530, 12),
+        new PeerMessage.StoreChanges(
+            false, 530, 532, 90_000, List.of(new KeyValueStore.Item("targets/t1", null, 531))));
   }
 
   @ParameterizedTest
