--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -27,6 +27,7 @@
           new MeasureCommand(),
           new StandinCommand(),
           new SoakCommand(),
+          new WhyCommand(),
           new VersionCommand());
 
   private Main() {}
