Serve sooner after a restart, and close a former home's connections

An instance that was the home kept its full share of connections while it had served within 5 s, also when it was leaving, so that the new home hit the target's limit. It now keeps its share only while no higher ranked instance is reachable, and closes idle connections above it; a full target is asked again after 250 ms. Also: after a restart an instance waited up to 1.1 s for a relay that had to load first; it now reads the store itself if no candidate answers within 150 ms, and opens its links as soon as it has the state.

--- a/core/src/main/java/io/hickorydrift/core/admission/HoldPolicy.java
+++ b/core/src/main/java/io/hickorydrift/core/admission/HoldPolicy.java
@@ -17,17 +17,22 @@
   private static final long MAX_HOLD_MS = 400;
   // Leaves the caller time for another attempt.
   private static final double MAX_TIMEOUT_SHARE = 0.4;
+  // While a new primary is expected, waiting for it serves more callers than retries that find the
+  // group without one. Leaves time to run the statement.
+  private static final double MAX_RECOVERY_TIMEOUT_SHARE = 0.7;
   // Shorter pauses would repeat the attempt in the same state of the group.
   private static final long MIN_RETRY_MS = 100;
 
   private final long holdMs;
+  private final long recoveryHoldMs;
 
   /** Creates the policy of a statement with the timeout {@code statementTimeoutMs}. */
   public HoldPolicy(long statementTimeoutMs) {
     holdMs = Math.min(MAX_HOLD_MS, (long) (statementTimeoutMs * MAX_TIMEOUT_SHARE));
+    recoveryHoldMs = (long) (statementTimeoutMs * MAX_RECOVERY_TIMEOUT_SHARE);
   }
 
-  /** Returns for how long the statement may be held, from its arrival. */
+  /** Returns for how long the statement may be held for a usable target, from its arrival. */
   public long holdMs() {
     return holdMs;
   }
@@ -40,8 +45,7 @@
    * @param elapsedMs time since the arrival of the statement
    */
   public long refuseAfterMs(boolean usable, long recoveryMs, long elapsedMs) {
-    long leftMs = holdMs - elapsedMs;
-    boolean hopeless = leftMs <= 0 || !usable && recoveryMs > leftMs;
+    boolean hopeless = usable ? elapsedMs >= holdMs : elapsedMs + recoveryMs > recoveryHoldMs;
     if (!hopeless) {
       return HOLD;
     }
--- a/core/src/main/java/io/hickorydrift/core/relay/RelaySelection.java
+++ b/core/src/main/java/io/hickorydrift/core/relay/RelaySelection.java
@@ -15,18 +15,20 @@
  * that it is up to date is too old. The next candidate in rank then watches at once; instances that
  * are not candidates watch only if no candidate does, spread in time.
  *
- * <p>Invariant: an instance without a usable relay watches the store within {@link
+ * <p>Invariant: an instance that has lost its relay watches the store within {@link
  * #MAX_TAKEOVER_MS}. Thread safety: confined to one thread.
  */
 public final class RelaySelection {
   /** Upper bound on the time without a usable relay until an instance watches the store itself. */
-  public static final long MAX_TAKEOVER_MS = 1_200;
+  public static final long MAX_TAKEOVER_MS = 600;
 
   // A relay proves that it is up to date at each result of its watch, at least every 0.9 s while it
   // provides proofs, and otherwise takes them from relays that do.
   private static final long MAX_PROOF_AGE_MS = 2_600;
-  // Time for a link to a candidate to be established and to carry its first status.
-  private static final long LINK_GRACE_MS = 600;
+  // Several round trips: a link to a candidate that runs is established and has carried its status.
+  private static final long LINK_GRACE_MS = 150;
+  // The candidates of a fleet that starts for the first time read the store meanwhile.
+  private static final long FIRST_START_GRACE_MS = 1_500;
   private static final long SPREAD_STEP_MS = 100;
   private static final int SPREAD_STEPS = 6;
 
@@ -47,13 +49,22 @@
   }
 
   private final String self;
+  private final long graceMs;
   private final long spreadMs;
   private boolean hadRelay;
   private long withoutRelaySinceNanos;
 
-  /** Creates the selection of the instance {@code self}, which starts at {@code nowNanos}. */
-  public RelaySelection(String self, long nowNanos) {
+  /**
+   * Creates the selection of the instance {@code self}, which starts at {@code nowNanos}.
+   *
+   * @param firstStart whether the fleet starts for the first time. Otherwise a candidate that does
+   *     not answer at once has failed as well, and the instance reads the store without delay:
+   *     after the loss of all instances, one that waited for its relay would serve later than it
+   *     could.
+   */
+  public RelaySelection(String self, boolean firstStart, long nowNanos) {
     this.self = self;
+    graceMs = firstStart ? FIRST_START_GRACE_MS : LINK_GRACE_MS;
     spreadMs = Math.floorMod(self.hashCode(), SPREAD_STEPS) * SPREAD_STEP_MS;
     withoutRelaySinceNanos = nowNanos;
   }
@@ -77,8 +88,8 @@
       }
     }
     long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - withoutRelaySinceNanos);
-    long graceMs = hadRelay || candidates.isEmpty() ? 0 : LINK_GRACE_MS;
-    return elapsedMs < graceMs + spreadMs ? null : self;
+    long waitMs = hadRelay ? spreadMs : graceMs;
+    return elapsedMs < waitMs && !candidates.isEmpty() ? null : self;
   }
 
   private String watch(long nowNanos) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -135,7 +135,26 @@
     Long servedNanos = lastServedNanos.get(group);
     boolean recentlyServed =
         servedNanos != null && loop.nowNanos() - servedNanos < RECENTLY_SERVED_NANOS;
-    return plan().maxConnectionsPerTarget(group, maxConnections(group), self, recentlyServed);
+    boolean replacesHome = recentlyServed && !higherRankedIsUp(group);
+    return plan().maxConnectionsPerTarget(group, maxConnections(group), self, replacesHome);
+  }
+
+  /**
+   * Returns whether an instance that serves {@code group} rather than this one is reachable. An
+   * instance that was the home leaves its connections to it, since a target's limit does not hold
+   * those of both.
+   */
+  private boolean higherRankedIsUp(String group) {
+    for (String id : plan().rankedInstances(group)) {
+      if (id.equals(self)) {
+        return false;
+      }
+      OutboundPeerLink link = peers.link(id);
+      if (link != null && link.isUp()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the instances that probe the primary of {@code group}: all if {@link #isDirect}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -48,9 +48,8 @@
   private final Peers peers;
   private final RelayService relay;
   private final String self;
-  private final RelaySelection selection;
+  private RelaySelection selection;
   private long revision;
-  private boolean membersRead;
   private boolean loaded;
   private boolean watching;
   private boolean loading;
@@ -82,7 +81,6 @@
     this.peers = peers;
     this.relay = relay;
     this.self = self;
-    selection = new RelaySelection(self, loop.nowNanos());
   }
 
   /** Returns whether a snapshot has been applied. */
@@ -106,21 +104,22 @@
 
   /** Reads the members of the fleet, to find a relay, and then begins to follow or to watch. */
   void start() {
-    readMembers(true);
+    readMembers(false);
   }
 
-  private void readMembers(boolean mayRepeat) {
+  private void readMembers(boolean firstStart) {
     store.staleRange(
         FleetMembership.keyPrefix(),
         "",
         result -> {
           result.items().forEach(contents::apply);
-          if (mayRepeat && fleet.relayCandidates().size() < 2) {
-            loop.after(START_PAUSE_MS, () -> readMembers(false));
+          if (!firstStart && fleet.relayCandidates().size() < 2) {
+            // No member is registered yet: the whole failure domain starts.
+            loop.after(START_PAUSE_MS, () -> readMembers(true));
             return;
           }
           Logger.info("event=relay_candidates candidates={}", fleet.relayCandidates());
-          membersRead = true;
+          selection = new RelaySelection(self, firstStart, loop.nowNanos());
           peers.updateLinks();
           tick();
         });
@@ -128,7 +127,7 @@
 
   /** Follows the relay that the selection chooses, or watches the store. */
   void tick() {
-    if (!membersRead) {
+    if (selection == null) {
       return;
     }
     String choice = selection.choose(fleet.relayCandidates(), peers::relayStatus, loop.nowNanos());
@@ -219,9 +218,9 @@
   private void applyRelayed(PeerMessage.StoreChanges changes) {
     long before = revision;
     revision = changes.revision();
-    loaded = true;
     if (changes.snapshot()) {
       contents.applySnapshot(changes.items());
+      onFirstLoad();
       relay.onSnapshot(revision, contents.failureAgeMs());
       return;
     }
@@ -231,6 +230,14 @@
     }
   }
 
+  /** Opens the links that the first state asks for at once, rather than at the next heartbeat. */
+  private void onFirstLoad() {
+    if (!loaded) {
+      loaded = true;
+      peers.updateLinks();
+    }
+  }
+
   private void load() {
     if (loading) {
       return;
@@ -267,7 +274,7 @@
     if (snapshotRevision >= revision) {
       contents.applySnapshot(items);
       revision = snapshotRevision;
-      loaded = true;
+      onFirstLoad();
       declarations.confirmCurrentAt(requestNanos);
       relay.onSnapshot(revision, contents.failureAgeMs());
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -33,9 +33,9 @@
   // connections are opened at the same time.
   private static final int MAX_OPENING = 2;
   private static final int UNREACHABLE_AFTER_FAILURES = 2;
-  // A target drops the connections of a client that lost power after 3 s; until then each second
-  // shows whether some were dropped.
-  private static final long FULL_RETRY_DELAY_NANOS = 1_000_000_000L;
+  // A target drops the connections of a client that lost power after 3 s, and an instance that was
+  // the home closes its connections within a few ticks.
+  private static final long FULL_RETRY_DELAY_NANOS = 250_000_000L;
   private static final long RECENTLY_RECEIVED_NANOS = 400_000_000L;
 
   private static final double ANONYMOUS_SHARE = 0.25;
@@ -233,10 +233,7 @@
     List<String> organisations = new ArrayList<>(candidates.size());
     candidates.forEach(connection -> organisations.add(connection.organisation()));
     TargetConnection victim = candidates.get(evictor.selectVictim(organisations, loop.nowNanos()));
-    idle.remove(victim);
-    evicting = true;
-    victim.close("evicted");
-    evicting = false;
+    closeIdle(victim, "evicted");
     return true;
   }
 
@@ -353,11 +350,21 @@
     for (PendingAcquire late : waitQueue.removeExpired(nowNanos)) {
       late.listener.refused("no connection in time");
     }
+    while (connections.size() > budget.getAsInt() && !idle.isEmpty()) {
+      closeIdle(idle.peekFirst(), "above the budget");
+    }
     if (!waitQueue.isEmpty()) {
       openForWaiting();
     }
   }
 
+  private void closeIdle(TargetConnection connection, String reason) {
+    idle.remove(connection);
+    evicting = true;
+    connection.close(reason);
+    evicting = false;
+  }
+
   /** Closes idle connections; connections in use are closed when they are released. */
   void drain() {
     draining = true;
