--- a/core/src/test/java/io/hickorydrift/core/limit/SharedRateLimiterTest.java
+++ b/core/src/test/java/io/hickorydrift/core/limit/SharedRateLimiterTest.java
@@ -222,7 +222,7 @@
   /** A small burst beside the rate: the bucket of the one holder still holds a whole token. */
   @ParameterizedTest
   @CsvSource({"3, 10, 1.5", "7, 20, 2", "7, 60, 4"})
-  void smallBurstsStillAdmitMostOfALowLoad(int size, double rate, double burst) {
+  void smallBurstsStillAdmitMostOfLowLoad(int size, double rate, double burst) {
     Fleet fleet = new Fleet(size, new RateLimit(rate, burst), 0, 5);
     fleet.run(rate / 10, 30_000, weights(size, 1));
     int total = fleet.refused + fleet.admitted.size();
--- a/core/src/test/java/io/hickorydrift/core/relay/RelaySelectionTest.java
+++ b/core/src/test/java/io/hickorydrift/core/relay/RelaySelectionTest.java
@@ -62,7 +62,7 @@
   }
 
   @Test
-  void instancesOfAFirstStartLeaveTheirRelayTimeToReadTheStore() {
+  void firstStartLeavesTheRelayTimeToReadTheStore() {
     RelaySelection started = new RelaySelection("x", true, 0);
     assertThat(choose(started, 1_000)).isNull();
     assertThat(choose(started, 2_000)).isEqualTo("x");
@@ -88,7 +88,7 @@
 
   /** Whatever is known of the candidates, an instance is never without the store for long. */
   @Property(tries = 300, seed = "19")
-  void instanceFollowsAUsableCandidateOrWatchesInTime(@ForAll long seed) {
+  void instanceFollowsUsableCandidateOrWatchesInTime(@ForAll long seed) {
     Random random = new Random(seed);
     String self = random.nextBoolean() ? "x" : CANDIDATES.get(random.nextInt(3));
     RelaySelection selection = new RelaySelection(self, false, 0);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -95,16 +95,6 @@
     return relayCandidates;
   }
 
-  /** Returns the first candidate for the relay of each other failure domain. */
-  Set<String> relaysOfOtherDomains() {
-    Set<String> domains = new HashSet<>();
-    members.values().forEach(entry -> domains.add(entry.failureDomain()));
-    domains.remove(own.failureDomain());
-    Set<String> relays = new HashSet<>();
-    domains.forEach(domain -> relays.add(relayCandidates(domain).get(0)));
-    return relays;
-  }
-
   private List<String> relayCandidates(String failureDomain) {
     List<RelayRanking.Member> inDomain = new ArrayList<>();
     members.forEach(
@@ -119,6 +109,16 @@
     return RelayRanking.of(failureDomain, inDomain);
   }
 
+  /** Returns the first candidate for the relay of each other failure domain. */
+  Set<String> relaysOfOtherDomains() {
+    Set<String> domains = new HashSet<>();
+    members.values().forEach(entry -> domains.add(entry.failureDomain()));
+    domains.remove(own.failureDomain());
+    Set<String> relays = new HashSet<>();
+    domains.forEach(domain -> relays.add(relayCandidates(domain).get(0)));
+    return relays;
+  }
+
   /** Returns the number of live instances, at least 1. */
   int size() {
     return Math.max(1, members.size());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -225,7 +225,7 @@
 
   private void endForwards() {
     List<HeldForward> held = List.copyOf(heldForwards);
-    List<ForwardListener> pending = List.copyOf(pendingForwards.values());
+    final List<ForwardListener> pending = List.copyOf(pendingForwards.values());
     heldForwards.clear();
     pendingForwards.clear();
     held.forEach(each -> each.listener.notSent());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -216,7 +216,7 @@
   }
 
   private void applyRelayed(PeerMessage.StoreChanges changes) {
-    long before = revision;
+    final long before = revision;
     revision = changes.revision();
     if (changes.snapshot()) {
       contents.applySnapshot(changes.items());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -31,6 +31,7 @@
     void exhausted(String reason);
   }
 
+  private static final String NOTHING_TRIED = "no target can run the statement";
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
   // Covers the time from the arrival of a statement's first byte until this instance reads it.
@@ -46,7 +47,7 @@
   private final HoldPolicy hold;
   private final Listener listener;
   private final Set<String> triedTargets = new HashSet<>();
-  private String lastFailureReason = "no target announced";
+  private String lastFailureReason = NOTHING_TRIED;
   private int backoffs;
 
   TargetSearch(
@@ -108,12 +109,22 @@
             && group.recoveryEstimator().expectedRecoveryMs(context.loop().nowNanos()) == 0
             && !triedTargets.contains(primary.entry().id() + "/proven");
     if (!eligible) {
-      lastFailureReason = primary == null ? "no primary" : lastFailureReason;
+      noteUnusablePrimary(primary);
       return null;
     }
     return primary;
   }
 
+  /** Gives the reason for a refusal unless a target has already given one. */
+  private void noteUnusablePrimary(TargetState primary) {
+    if (primary == null) {
+      lastFailureReason = "no primary";
+    } else if (lastFailureReason.equals(NOTHING_TRIED)) {
+      lastFailureReason =
+          isUsable(primary) ? "primary is being replaced" : "primary is unreachable or leaving";
+    }
+  }
+
   private Position lowerBound(GroupState group) {
     long sinceNanos =
         receivedNanos
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -145,7 +145,7 @@
    */
   public boolean runOnce(long maxWaitMs) throws IOException {
     flush();
-    int events = selector.select(this::dispatch, Math.max(1, maxWaitMs));
+    final int events = selector.select(this::dispatch, Math.max(1, maxWaitMs));
     clock.refresh();
     runPosted();
     runTimers();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -71,7 +71,7 @@
 
   @Test
   void removalOfAnEarlierEntryIsIgnored() {
-    int grants = store.count("grant");
+    final int grants = store.count("grant");
     fleet.apply(new Item(OWN_KEY, "127.0.0.1:9 1 z".getBytes(), 1_001));
     fleet.apply(new Item(OWN_KEY, null, 1));
     assertThat(fleet.isMember()).isTrue();
