--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -30,8 +30,8 @@
   private static final String KEY_PREFIX = "fleet/";
   // Longer than the proof that lets an instance use its parts of rates, so that no part is taken
   // over while it may still be in use.
-  private static final long LEASE_TTL_MS = 8_000;
-  private static final long LEASE_RENEWAL_MS = 3_500;
+  private static final long LEASE_TTL_MS = 6_000;
+  private static final long LEASE_RENEWAL_MS = 2_500;
   private static final long RETRY_MS = 400;
   private static final long MAX_RETRY_MS = 1_600;
 
