Let observers of lower rank wait for the others' suspicions

An observer that is not the first of all now waits 100 ms for the suspicions, besides its rank's delay. Costs 100 ms of a change only if the first is gone.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
@@ -24,6 +24,8 @@
  */
 public final class FailoverStateMachine {
   private static final int MIN_SUSPECTING_OBSERVERS = 2;
+  // Many times the delay of a message between instances.
+  private static final long SUSPICION_EXCHANGE_NANOS = 100_000_000L;
 
   private final String self;
   private final String failureDomain;
@@ -282,7 +284,17 @@
     return rank >= 0
         && suspectingObservers.size() >= needed
         && majorityReachable(nowNanos)
-        && nowNanos - suspectedSinceNanos >= rank * settings.rankDelayNanos();
+        && nowNanos - suspectedSinceNanos >= promotionDelayNanos(rank);
+  }
+
+  /**
+   * Returns how long this observer leaves the promotion to those of higher rank. Observers suspect
+   * an unknown primary at the same moment; one that is not the first of them has to wait until the
+   * others' suspicions have arrived before it knows its rank among them.
+   */
+  private long promotionDelayNanos(int rank) {
+    boolean first = observers.get(0).equals(self);
+    return rank * settings.rankDelayNanos() + (first ? 0 : SUSPICION_EXCHANGE_NANOS);
   }
 
   /**
--- a/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
+++ b/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
@@ -77,22 +77,41 @@
     FailoverStateMachine observer = observerWithoutKnownPrimary(started);
     long timeoutNanos = FailoverSettings.STANDARD.attemptTimeoutNanos();
     for (long nowNanos = 0; nowNanos <= timeoutNanos + 100 * MS; nowNanos += 50 * MS) {
-      for (String target : List.of("a", "b", "c")) {
-        Position start = new Position(0, 0);
-        TargetAnswer answer =
-            TargetAnswer.builder()
-                .status(TargetStatus.OK)
-                .term(1)
-                .applied(start)
-                .logged(start)
-                .build();
-        started.recordAnswer(target, answer, nowNanos);
-      }
+      answerFromAllTargets(started, nowNanos);
       boolean promotes = promotes(observer.tick(nowNanos));
       assertThat(promotes).as("after %d ns", nowNanos).isEqualTo(nowNanos == timeoutNanos);
     }
   }
 
+  private static void answerFromAllTargets(GroupView group, long nowNanos) {
+    for (String target : List.of("a", "b", "c")) {
+      Position start = new Position(0, 0);
+      TargetAnswer answer =
+          TargetAnswer.builder()
+              .status(TargetStatus.OK)
+              .term(1)
+              .applied(start)
+              .logged(start)
+              .build();
+      group.recordAnswer(target, answer, nowNanos);
+    }
+  }
+
+  @Test
+  void observerOfLowerRankWaitsForTheSuspicionOfTheFirst() {
+    GroupView started = new GroupView("g", List.of("a", "b", "c"));
+    FailoverStateMachine observer = observerWithoutKnownPrimary(started);
+    observer.setObservers(List.of("first", "self", "other"));
+    answerFromAllTargets(started, 0);
+    observer.tick(0);
+    long suspectsNanos = FailoverSettings.STANDARD.attemptTimeoutNanos();
+    answerFromAllTargets(started, suspectsNanos);
+    observer.tick(suspectsNanos);
+    assertThat(promotes(observer.onSuspicion(suspicion(1), suspectsNanos + MS))).isFalse();
+    assertThat(promotes(observer.tick(suspectsNanos + 60 * MS))).isFalse();
+    assertThat(promotes(observer.tick(suspectsNanos + 200 * MS))).isTrue();
+  }
+
   @Test
   void suspicionOfAnotherTermTriggersNoProbe() {
     assertThat(probes(machine.onSuspicion(suspicion(TERM - 1), 1_000 * MS))).isEmpty();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -47,12 +47,12 @@
   private final FleetMembership fleet;
   private final Peers peers;
   private final RelayService relay;
+  private final SnapshotReader snapshots;
   private final String self;
   private RelaySelection selection;
   private long revision;
   private boolean loaded;
   private boolean watching;
-  private boolean loading;
   private OutboundPeerLink followed;
   private long followedConnection;
   private boolean subscribed;
@@ -81,6 +81,21 @@
     this.peers = peers;
     this.relay = relay;
     this.self = self;
+    snapshots =
+        new SnapshotReader(
+            loop,
+            store,
+            new SnapshotReader.Listener() {
+              @Override
+              public void read(List<Item> items, long requestNanos, long snapshotRevision) {
+                onLoaded(items, requestNanos, snapshotRevision);
+              }
+
+              @Override
+              public void failed(Status status) {
+                onFailure(status, StoreSync.this::load);
+              }
+            });
   }
 
   /** Returns whether a snapshot has been applied. */
@@ -239,34 +254,8 @@
   }
 
   private void load() {
-    if (loading) {
-      return;
-    }
-    loading = true;
     watchNumber++;
-    load("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
-  }
-
-  private void load(String after, List<Item> items, long requestNanos, long firstRevision) {
-    store.range(
-        ALL_KEYS,
-        after,
-        result -> {
-          if (result.status() != Status.OK) {
-            loading = false;
-            onFailure(result.status(), this::load);
-            return;
-          }
-          items.addAll(result.items());
-          long snapshotRevision = Math.min(firstRevision, result.revision());
-          if (result.truncated() && !result.items().isEmpty()) {
-            String last = result.items().get(result.items().size() - 1).key();
-            load(last, items, requestNanos, snapshotRevision);
-            return;
-          }
-          loading = false;
-          onLoaded(items, requestNanos, snapshotRevision);
-        });
+    snapshots.read();
   }
 
   private void onLoaded(List<Item> items, long requestNanos, long snapshotRevision) {
