Count the time that a statement waited for its link

The age that a forwarded statement carries was that of the moment before its link was probed, so that its home gave it up to 400 ms more than its caller's deadline. Found by reading; no test of its own. Also a reason for the share of callers without a key.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -56,7 +56,7 @@
   }
 
   private record HeldForward(
-      PeerMessage.Forward message, long timeoutMs, ForwardListener listener) {}
+      PeerMessage.Forward message, long timeoutMs, long sinceNanos, ForwardListener listener) {}
 
   private final EventLoop loop;
   private final PeerTraffic traffic;
@@ -160,11 +160,12 @@
       onEnd.notSent();
       return;
     }
+    HeldForward held = new HeldForward(forward, timeoutMs, loop.nowNanos(), onEnd);
     if (loop.nowNanos() - lastReceivedNanos < RECENT_NANOS) {
-      sendForward(new HeldForward(forward, timeoutMs, onEnd));
+      sendForward(held);
       return;
     }
-    heldForwards.add(new HeldForward(forward, timeoutMs, onEnd));
+    heldForwards.add(held);
     if (heldForwards.size() == 1) {
       probe();
     }
@@ -187,6 +188,7 @@
 
   private void sendForward(HeldForward held) {
     PeerMessage.Forward forward = held.message;
+    long heldMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - held.sinceNanos);
     long correlation = ++lastCorrelation;
     boolean sent =
         send(
@@ -201,7 +203,7 @@
                 forward.values(),
                 forward.lastCommit(),
                 forward.counted(),
-                forward.ageMs()));
+                forward.ageMs() + heldMs));
     if (!sent) {
       held.listener.notSent();
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -37,7 +37,8 @@
   // the home closes its connections within a few ticks.
   private static final long FULL_RETRY_DELAY_NANOS = 250_000_000L;
   private static final long RECENTLY_RECEIVED_NANOS = 400_000_000L;
-
+  // Part of the connections for callers without a key; as large as the part that is left free for
+  // restarts, so that a flood of them leaves half of a target's connections to the organisations.
   private static final double ANONYMOUS_SHARE = 0.25;
   private static final String RULED_OUT_REASON = "another process answers at the target's address";
 
