Do not promote before the heartbeats of other observers can have arrived

An observer without others now waits 1.5 s from when it found itself alone. Before: observerThatKnowsNoOther... written with the mend, not run on the old code.

--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
@@ -26,6 +26,8 @@
   private static final int MIN_SUSPECTING_OBSERVERS = 2;
   // Many times the delay of a message between instances.
   private static final long SUSPICION_EXCHANGE_NANOS = 100_000_000L;
+  // Time after its start within which an instance has received the heartbeats of all others.
+  private static final long ALONE_SETTLE_NANOS = 1_500_000_000L;
 
   private final String self;
   private final String failureDomain;
@@ -34,6 +36,7 @@
   private final ProbeFailureDetector detector = new ProbeFailureDetector();
   private final Map<String, Long> suspectedAtNanos = new HashMap<>();
   private List<String> observers = List.of();
+  private long aloneSinceNanos = Long.MIN_VALUE;
   private long reservedTerm;
   private long detectorTerm;
   private long nextProbeNanos = Long.MIN_VALUE;
@@ -84,6 +87,7 @@
   public List<FailoverAction> tick(long nowNanos) {
     List<FailoverAction> actions = new ArrayList<>();
     resetOnNewTerm();
+    updateAlone(nowNanos);
     probe(nowNanos, actions);
     updateSuspicion(nowNanos, actions);
     if (promotion != null && nowNanos - promotion.startedNanos() > settings.attemptTimeoutNanos()) {
@@ -267,11 +271,30 @@
     return new Suspicion(view.group(), view.term(), self, failureDomain, suspected);
   }
 
+  private void updateAlone(long nowNanos) {
+    if (observers.size() > 1) {
+      aloneSinceNanos = Long.MIN_VALUE;
+    } else if (aloneSinceNanos == Long.MIN_VALUE) {
+      aloneSinceNanos = nowNanos;
+    }
+  }
+
+  /**
+   * Returns whether this observer may be the only one just because it has not heard of the others
+   * yet. Each instance of a fleet that starts would promote a primary of its own.
+   */
+  private boolean mayHaveUnknownObservers(long nowNanos) {
+    return aloneSinceNanos != Long.MIN_VALUE && nowNanos - aloneSinceNanos < ALONE_SETTLE_NANOS;
+  }
+
   private boolean mayPromote(long nowNanos) {
     boolean backingOff = backOffUntilNanos != Long.MIN_VALUE && nowNanos - backOffUntilNanos < 0;
     if (!suspectsPrimary || backingOff || reservedTerm <= view.term()) {
       return false;
     }
+    if (mayHaveUnknownObservers(nowNanos)) {
+      return false;
+    }
     List<String> suspectingObservers = new ArrayList<>();
     for (String observer : observers) {
       Long atNanos = suspectedAtNanos.get(observer);
--- a/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
+++ b/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
@@ -71,14 +71,29 @@
     return observer;
   }
 
+  @Test
+  void observerThatKnowsNoOtherLeavesTimeForTheirHeartbeats() {
+    GroupView started = new GroupView("g", List.of("a", "b", "c"));
+    FailoverStateMachine observer = observerWithoutKnownPrimary(started);
+    for (long nowMs = 0; nowMs < 1_500; nowMs += 50) {
+      answerFromAllTargets(started, nowMs * MS);
+      assertThat(promotes(observer.tick(nowMs * MS))).as("after %d ms", nowMs).isFalse();
+    }
+    answerFromAllTargets(started, 1_500 * MS);
+    assertThat(promotes(observer.tick(1_500 * MS))).isTrue();
+  }
+
   @Test
   void unknownPrimaryIsNotReplacedWhileAnotherAttemptMayBeUnderWay() {
     GroupView started = new GroupView("g", List.of("a", "b", "c"));
     FailoverStateMachine observer = observerWithoutKnownPrimary(started);
+    observer.setObservers(List.of("self", "other"));
     long timeoutNanos = FailoverSettings.STANDARD.attemptTimeoutNanos();
     for (long nowNanos = 0; nowNanos <= timeoutNanos + 100 * MS; nowNanos += 50 * MS) {
       answerFromAllTargets(started, nowNanos);
-      boolean promotes = promotes(observer.tick(nowNanos));
+      boolean promotes =
+          promotes(observer.tick(nowNanos))
+              || promotes(observer.onSuspicion(suspicion(1), nowNanos));
       assertThat(promotes).as("after %d ns", nowNanos).isEqualTo(nowNanos == timeoutNanos);
     }
   }
