Compute a declaration's difference once, and say twice-written things once

Read over the whole change: a relay encoded the same difference of the declaration again for each of its subscribers; it keeps the last one now. The maximum validity of a token stood in two classes, and 'not leaving and not ruled out' in three places (TargetState.acceptsNewWork). Behaviour unchanged.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -48,8 +48,7 @@
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetState target : group.targets()) {
-      boolean usable = !target.entry().draining() && !target.isRuledOut();
-      if (!usable || tried.contains(target.entry().id())) {
+      if (!target.acceptsNewWork() || tried.contains(target.entry().id())) {
         continue;
       }
       double cost = cost(target, target == primary, atLeast, nowNanos);
@@ -70,7 +69,7 @@
     double highest = -1;
     for (TargetState target : group.targets()) {
       double hash = Rendezvous.unitHash(organisation, target.entry().id());
-      boolean usable = target != primary && !target.entry().draining() && !target.isRuledOut();
+      boolean usable = target != primary && target.acceptsNewWork();
       if (usable && hash > highest) {
         preferred = target;
         highest = hash;
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -105,6 +105,11 @@
     return ruledOut;
   }
 
+  /** Returns whether new work may be sent: the target is not leaving and its entry is not wrong. */
+  public boolean acceptsNewWork() {
+    return !entry.draining() && !ruledOut;
+  }
+
   /** Records that a statement was sent. */
   public void recordSent() {
     outstanding++;
--- a/core/src/main/java/io/hickorydrift/core/limit/RateLimit.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/RateLimit.java
@@ -12,8 +12,12 @@
  * @param burst requests admitted at once after an idle period
  */
 public record RateLimit(double ratePerSecond, double burst) {
-  // Several round trips between instances, so that few granted tokens expire unused.
-  private static final long MAX_TOKEN_VALIDITY_NANOS = 120_000_000L;
+  /**
+   * Maximum validity of a granted token: several round trips between instances, so that few expire
+   * unused.
+   */
+  static final long MAX_TOKEN_VALIDITY_NANOS = 120_000_000L;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Returns the capacity of the buckets of all holders together. */
--- a/core/src/main/java/io/hickorydrift/core/limit/SharedRateLimiter.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SharedRateLimiter.java
@@ -29,8 +29,6 @@
   private static final long ROUND_BACKOFF_NANOS = 8_000_000L;
   private static final int MAX_BACKOFF_STEPS = 4;
   private static final long ANSWER_TIMEOUT_NANOS = 30_000_000L;
-  // Tokens in a later answer have expired.
-  private static final long MAX_ANSWER_AGE_NANOS = 120_000_000L;
   // A token that is valid for less than a round trip would expire before its arrival.
   private static final long MIN_USEFUL_VALIDITY_NANOS = 5_000_000L;
   private static final double DEMAND_SMOOTHING = 0.3;
@@ -131,9 +129,10 @@
   /** Processes queued operations, token requests and demand at {@code nowNanos}. */
   public List<RateLimitAction> tick(long nowNanos) {
     List<RateLimitAction> actions = new ArrayList<>();
+    // Tokens in a later answer have expired.
     pendingRequests
         .values()
-        .removeIf(request -> nowNanos - request.sentNanos > MAX_ANSWER_AGE_NANOS);
+        .removeIf(request -> nowNanos - request.sentNanos > RateLimit.MAX_TOKEN_VALIDITY_NANOS);
     organisations.forEach(
         (organisation, state) -> {
           updateDemand(state, nowNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
@@ -19,6 +19,10 @@
   private final EventLoop loop;
   private final Declarations declarations;
   private final PlatformAdapter platform;
+  // The last change, which a relay sends to all its subscribers alike.
+  private PeerMessage change;
+  private long changeBaseVersion;
+  private byte[] changeTarget;
   private long behindSinceNanos = Long.MIN_VALUE;
   private long requestedNanos = Long.MIN_VALUE;
 
@@ -38,10 +42,16 @@
     if (base == null) {
       return new PeerMessage.DeclarationResponse(current);
     }
-    byte[] delta = DocumentDelta.encode(base, current);
-    return delta.length < current.length
-        ? new PeerMessage.DeclarationChange(version, delta)
-        : new PeerMessage.DeclarationResponse(current);
+    if (version != changeBaseVersion || current != changeTarget) {
+      byte[] delta = DocumentDelta.encode(base, current);
+      change =
+          delta.length < current.length
+              ? new PeerMessage.DeclarationChange(version, delta)
+              : new PeerMessage.DeclarationResponse(current);
+      changeBaseVersion = version;
+      changeTarget = current;
+    }
+    return change;
   }
 
   /**
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -215,9 +215,6 @@
   }
 
   private boolean isUsable(TargetState target) {
-    return target != null
-        && !target.entry().draining()
-        && !target.isRuledOut()
-        && !context.pool(target).isUnreachable();
+    return target != null && target.acceptsNewWork() && !context.pool(target).isUnreachable();
   }
 }
