Log why a process ends that was not asked to stop

The logs could not tell apart a signal without a handler, an error that ends the event loop, and a kill: in all three the process ended without a line. Now the virtual machine's shutdown writes event=exit with cause=signal or cause=error and the uptime, unless the command returned; no line means a kill or lost power. No decision changes.

--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ExitLog.java
@@ -0,0 +1,45 @@
+package io.hickorydrift.proxy.cli;
+
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Logs a line if the process ends although its command has not returned: by a signal, or by an
+ * error that the command did not catch.
+ *
+ * <p>Thread safety: safe.
+ */
+final class ExitLog {
+  private final long startNanos = System.nanoTime();
+  private volatile Throwable error;
+  private volatile boolean completed;
+
+  /** Returns a log that is written when the virtual machine shuts down. */
+  static ExitLog install() {
+    ExitLog log = new ExitLog();
+    Runtime.getRuntime().addShutdownHook(new Thread(log::write, "exit-log"));
+    return log;
+  }
+
+  /** Records that the command has returned, so that no line is due. */
+  void recordCompletion() {
+    completed = true;
+  }
+
+  /** Records the error that ended the command. */
+  void recordError(Throwable cause) {
+    error = cause;
+  }
+
+  private void write() {
+    if (completed) {
+      return;
+    }
+    long uptimeMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    if (error == null) {
+      Logger.error("event=exit cause=signal uptime_ms={}", uptimeMs);
+    } else {
+      Logger.error("event=exit cause=error error=\"{}\" uptime_ms={}", error, uptimeMs);
+    }
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -34,7 +34,16 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) {
-    System.exit(run(Arrays.asList(arguments), System.out, System.err));
+    ExitLog exitLog = ExitLog.install();
+    int code;
+    try {
+      code = run(Arrays.asList(arguments), System.out, System.err);
+    } catch (Error e) {
+      exitLog.recordError(e);
+      throw e;
+    }
+    exitLog.recordCompletion();
+    System.exit(code);
   }
 
   /** Runs the command line and returns its exit code. */
--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ChildProcess.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ChildProcess.java
@@ -21,12 +21,18 @@
    * {@code lastKey}.
    */
   ChildProcess(String lastKey, String... arguments) throws IOException {
+    this(ProcessBuilder.Redirect.DISCARD, lastKey, arguments);
+  }
+
+  /** Also sends the log of the process to {@code log}. */
+  ChildProcess(ProcessBuilder.Redirect log, String lastKey, String... arguments)
+      throws IOException {
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + "/bin/java");
     command.addAll(List.of("-Xmx256m", "-cp", System.getProperty("java.class.path")));
     command.add(Main.class.getName());
     command.addAll(List.of(arguments));
-    process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    process = new ProcessBuilder(command).redirectError(log).start();
     BufferedReader lines =
         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
     while (!addresses.containsKey(lastKey)) {
