Keep serve running at SIGHUP

Now the handlers of ProcessSignals are installed first, and SIGHUP is logged; its settings are read at the start, as docs/OPERATING.md says. The other commands run in the foreground and serve nobody: the signal may end them.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ServeCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ServeCommand.java
@@ -9,9 +9,11 @@
 import java.util.concurrent.CountDownLatch;
 import joptsimple.OptionSet;
 import org.tinylog.Logger;
-import sun.misc.Signal;
 
-/** Runs an instance until SIGTERM or SIGINT; a second signal exits without a graceful shutdown. */
+/**
+ * Runs an instance until SIGTERM or SIGINT; a second one exits without a graceful shutdown. Changed
+ * settings take effect at the next start, so that SIGHUP is only logged.
+ */
 final class ServeCommand implements Command {
   private static final int SECOND_SIGNAL_EXIT_CODE = 130;
 
@@ -27,6 +29,7 @@
 
   @Override
   public int run(List<String> arguments, PrintStream out) throws InterruptedException {
+    ProcessSignals signals = ProcessSignals.install();
     Options options = new Options("serve --settings FILE");
     options.parser().accepts("settings", "The instance's settings").withRequiredArg();
     OptionSet parsed = options.parse(arguments, out);
@@ -43,22 +46,26 @@
     out.println("operators=" + instance.operatorsAddress());
     out.println("peers=" + instance.peersAddress());
     CountDownLatch stopRequested = new CountDownLatch(1);
-    handleSignals(stopRequested);
+    signals.attach(listener(stopRequested));
     stopRequested.await();
     return instance.stopGracefully() == 0 ? ExitCode.OK : ExitCode.FAILED;
   }
 
-  private static void handleSignals(CountDownLatch stopRequested) {
-    for (String name : List.of("TERM", "INT")) {
-      Signal.handle(
-          new Signal(name),
-          signal -> {
-            if (stopRequested.getCount() == 0) {
-              Logger.warn("event=stopped_at_once signal={}", name);
-              Runtime.getRuntime().halt(SECOND_SIGNAL_EXIT_CODE);
-            }
-            stopRequested.countDown();
-          });
-    }
+  private static ProcessSignals.Listener listener(CountDownLatch stopRequested) {
+    return new ProcessSignals.Listener() {
+      @Override
+      public void onStop(String signal) {
+        if (stopRequested.getCount() == 0) {
+          Logger.warn("event=stopped_at_once signal={}", signal);
+          Runtime.getRuntime().halt(SECOND_SIGNAL_EXIT_CODE);
+        }
+        stopRequested.countDown();
+      }
+
+      @Override
+      public void onSettingsChanged() {
+        Logger.warn("event=settings_not_read reason=\"changes take effect at the next start\"");
+      }
+    };
   }
 }
--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
@@ -274,6 +274,26 @@
     assertThat(codes).containsOnly(ResultCode.OK);
   }
 
+  @Test
+  void hangupAbortsNoRequest() throws Exception {
+    AtomicBoolean stop = new AtomicBoolean();
+    List<ResultCode> codes = Collections.synchronizedList(new ArrayList<>());
+    CompletableFuture<Void> writer =
+        CompletableFuture.runAsync(
+            () -> {
+              for (int i = 0; !stop.get(); i++) {
+                String sql = "INSERT INTO t VALUES ('h" + i + "')";
+                codes.add(ResultCode.of(caller.call(callersAddress(1), "write-0", sql).code()));
+              }
+            });
+    awaitSize(codes, 50);
+    instances.get(1).signal("HUP");
+    awaitSize(codes, codes.size() + 50);
+    stop.set(true);
+    writer.join();
+    assertThat(codes).containsOnly(ResultCode.OK);
+  }
+
   private static void awaitSize(List<?> list, int size) {
     long endNanos = System.nanoTime() + 30_000_000_000L;
     while (list.size() < size) {
