Let the event loop survive errors outside of callbacks

A handler that threw while its channel was flushed, or a listener of clock pauses that threw, left the loop, and the process ended with all its sessions; a pause listener that threw also kept the others from dropping what may have expired. OutOfMemoryError (one oversized message is enough) and LinkageError ended it as well. All of them are now logged (callback_failed) and end at most their own connection. OutOfMemoryError has no test: the catch is the one of StackOverflowError, which has.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -173,7 +173,7 @@
       handler.ready(key);
     } catch (IOException e) {
       runGuarded(() -> handler.failed(e));
-    } catch (RuntimeException | StackOverflowError e) {
+    } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
       Logger.error(e, "event=callback_failed");
       runGuarded(() -> handler.failed(new IOException("internal error", e)));
     }
@@ -197,7 +197,7 @@
   private static void runGuarded(Runnable action) {
     try {
       action.run();
-    } catch (RuntimeException | StackOverflowError e) {
+    } catch (RuntimeException | StackOverflowError | OutOfMemoryError | LinkageError e) {
       // An error in one callback must not end the process, which serves all other sessions.
       Logger.error(e, "event=callback_failed");
     }
@@ -205,7 +205,7 @@
 
   private void flush() {
     for (int i = 0; i < unflushedChannels.size(); i++) {
-      unflushedChannels.get(i).flush();
+      runGuarded(unflushedChannels.get(i)::flush);
     }
     unflushedChannels.clear();
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/ManualTime.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/ManualTime.java
@@ -10,17 +10,23 @@
  */
 public final class ManualTime {
   private long nowNanos;
+  private long suspendedMs;
 
   /** Advances the time by {@code ms}. */
   public void advanceMs(long ms) {
     nowNanos += TimeUnit.MILLISECONDS.toNanos(ms);
   }
 
+  /** Advances the time of day only, as a suspension of the process for {@code ms} does. */
+  public void suspendMs(long ms) {
+    suspendedMs += ms;
+  }
+
   long nowNanos() {
     return nowNanos;
   }
 
   long timeOfDayMs() {
-    return TimeUnit.NANOSECONDS.toMillis(nowNanos);
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos) + suspendedMs;
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
@@ -57,8 +57,17 @@
     if (Math.abs(offset - timeOfDayOffsetMs) > OFFSET_TOLERANCE_MS) {
       Logger.warn("event=clock_pause difference_ms={}", offset - timeOfDayOffsetMs);
       timeOfDayOffsetMs = offset;
-      pauseListeners.forEach(Runnable::run);
+      pauseListeners.forEach(SteadyClock::runGuarded);
     }
     return nowNanos;
   }
+
+  private static void runGuarded(Runnable listener) {
+    try {
+      listener.run();
+    } catch (RuntimeException e) {
+      // The other listeners have to drop what may have expired during the pause, too.
+      Logger.error(e, "event=callback_failed");
+    }
+  }
 }
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/EventLoopTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/EventLoopTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -40,6 +43,46 @@
     assertThat(ran).containsExactly("later");
   }
 
+  @Test
+  void errorWhileAChannelIsFlushedDoesNotEndTheLoop() throws IOException {
+    try (ServerSocket neverReads = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      String address = "127.0.0.1:" + neverReads.getLocalPort();
+      ChannelHandler failing =
+          new ChannelHandler() {
+            @Override
+            public void received(ByteBuffer in) {}
+
+            @Override
+            public void closed(String reason) {
+              ran.add(reason);
+              throw new IllegalStateException();
+            }
+          };
+      TcpChannel channel = TcpChannel.connect(loop, address, failing);
+      // More than the buffers of both sockets hold and a channel may keep.
+      channel.out().octets(new byte[64 << 20]);
+      for (int i = 0; i < 1_000 && ran.isEmpty(); i++) {
+        loop.runOnce(1);
+      }
+    }
+    loop.after(5, () -> ran.add("later"));
+    advanceMs(5);
+    assertThat(ran).containsExactly("remote end reads too slowly", "later");
+  }
+
+  @Test
+  void errorInAPauseListenerDoesNotSkipTheOthers() throws IOException {
+    loop.clock()
+        .onClockPause(
+            () -> {
+              throw new IllegalStateException();
+            });
+    loop.clock().onClockPause(() -> ran.add("dropped"));
+    time.suspendMs(500);
+    loop.runOnce(0);
+    assertThat(ran).containsExactly("dropped");
+  }
+
   @Test
   void timersFireInOrderOnceTheTimeHasPassed() throws IOException {
     loop.after(20, () -> ran.add("b"));
