Pass signals on before they are logged

Found by the review: the line was written under the lock that passes signals on, so that a blocked log would have held back SIGTERM. Delivered first now, logged outside of the lock. SettingsSignalTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ProcessSignals.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ProcessSignals.java
@@ -8,7 +8,7 @@
 /**
  * Receives the signals of an instance's process: SIGTERM and SIGINT request a stop, SIGHUP reports
  * that the settings file has changed. The virtual machine ends the process on a signal that has no
- * handler, so the handlers are installed before anything else.
+ * handler, so the handlers are installed before a command does anything else.
  *
  * <p>Invariant: each signal is passed on exactly once; those that arrive before a listener is
  * attached are passed on when it is. Thread safety: safe.
@@ -41,13 +41,16 @@
     Signal.handle(new Signal(name), signal -> receive(name));
   }
 
-  private synchronized void receive(String name) {
-    Logger.info("event=signal_received signal={}", name);
-    if (listener == null) {
-      undelivered.add(name);
-    } else {
-      deliver(name);
+  private void receive(String name) {
+    synchronized (this) {
+      if (listener == null) {
+        undelivered.add(name);
+      } else {
+        deliver(name);
+      }
     }
+    // Last and outside of the lock, since a log that blocks must not hold back a signal.
+    Logger.info("event=signal_received signal={}", name);
   }
 
   /** Passes all signals on to {@code newListener}. */
