Log the exit of a command that failed

Found by the review: an exception out of the event loop became exit code 1 through Main, which counted as a command that has returned, so that the promised line event=exit was not written. It is now, with cause=failed.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ExitLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ExitLog.java
@@ -4,15 +4,15 @@
 import org.tinylog.Logger;
 
 /**
- * Logs a line if the process ends although its command has not returned: by a signal, or by an
- * error that the command did not catch.
+ * Logs a line if the process ends although its command has not succeeded: by a signal, by an error
+ * that the command did not catch, or because the command failed.
  *
  * <p>Thread safety: safe.
  */
 final class ExitLog {
   private final long startNanos = System.nanoTime();
   private volatile Throwable error;
-  private volatile boolean completed;
+  private volatile Integer exitCode;
 
   /** Returns a log that is written when the virtual machine shuts down. */
   static ExitLog install() {
@@ -21,9 +21,9 @@
     return log;
   }
 
-  /** Records that the command has returned, so that no line is due. */
-  void recordCompletion() {
-    completed = true;
+  /** Records that the command has returned; a line is due only if it failed. */
+  void recordCompletion(int code) {
+    exitCode = code;
   }
 
   /** Records the error that ended the command. */
@@ -32,14 +32,16 @@
   }
 
   private void write() {
-    if (completed) {
+    if (exitCode != null && exitCode != ExitCode.FAILED) {
       return;
     }
     long uptimeMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-    if (error == null) {
-      Logger.error("event=exit cause=signal uptime_ms={}", uptimeMs);
-    } else {
+    if (exitCode != null) {
+      Logger.error("event=exit cause=failed uptime_ms={}", uptimeMs);
+    } else if (error != null) {
       Logger.error("event=exit cause=error error=\"{}\" uptime_ms={}", error, uptimeMs);
+    } else {
+      Logger.error("event=exit cause=signal uptime_ms={}", uptimeMs);
     }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -42,7 +42,7 @@
       exitLog.recordError(e);
       throw e;
     }
-    exitLog.recordCompletion();
+    exitLog.recordCompletion(code);
     System.exit(code);
   }
 
