Write a changed own entry again if it changes during the registration

Found by the review of the reload: a change of capacity while the first write of the entry was under way was not written at all, and a delayed older write could replace a newer entry for good. The entry that was written, or is seen in the store, is compared with the own one, and written again if it differs. FleetMembershipTest.entryThatChangesDuringTheRegistration..., entryThatADelayedWriteReplaced...: red before, green now with the class.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -30,7 +30,7 @@
   private static final String KEY_PREFIX = "fleet/";
   // Longer than the proof that lets an instance use its parts of rates, so that no part is taken
   // over while it may still be in use.
-  private static final long LEASE_TTL_MS = 6_000;
+  static final long LEASE_TTL_MS = 6_000;
   private static final long LEASE_RENEWAL_MS = 2_500;
   private static final long RETRY_MS = 400;
   private static final long MAX_RETRY_MS = 1_600;
@@ -136,9 +136,18 @@
       changeCount++;
       Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
     }
-    if (entry == null && name.equals(instance) && registered) {
-      Logger.warn("event=own_entry_lost instance={}", name);
+    if (name.equals(instance) && registered) {
+      reconcileOwnEntry(entry);
+    }
+  }
+
+  /** Repairs the own entry if it has lapsed, or if a delayed write has replaced it. */
+  private void reconcileOwnEntry(FleetEntry stored) {
+    if (stored == null) {
+      Logger.warn("event=own_entry_lost instance={}", instance);
       join();
+    } else {
+      rewriteIfChanged(registration, stored);
     }
   }
 
@@ -214,17 +223,26 @@
     if (!isCurrent(number)) {
       return;
     }
+    FleetEntry written = own;
     store.write(
         entryWrite(),
         result -> {
           if (result.status() == Status.OK) {
             ownEntryRevision = result.value();
+            rewriteIfChanged(number, written);
           } else if (result.status() != Status.NOT_FOUND) {
             loop.after(nextRetryMs(), () -> rewriteEntry(number));
           }
         });
   }
 
+  /** Writes the entry again if it has changed since {@code written} was. */
+  private void rewriteIfChanged(long number, FleetEntry written) {
+    if (!written.equals(own)) {
+      rewriteEntry(number);
+    }
+  }
+
   private Write entryWrite() {
     byte[] value = own.encode().getBytes(StandardCharsets.UTF_8);
     return new Write(List.of(), List.of(new Put(KEY_PREFIX + instance, value, lease)), List.of());
@@ -256,10 +274,11 @@
     if (!isCurrent(number)) {
       return;
     }
-    store.write(entryWrite(), result -> onEntryWritten(number, result));
+    FleetEntry written = own;
+    store.write(entryWrite(), result -> onEntryWritten(number, written, result));
   }
 
-  private void onEntryWritten(long number, UpdateResult result) {
+  private void onEntryWritten(long number, FleetEntry written, UpdateResult result) {
     if (!isCurrent(number)) {
       return;
     }
@@ -268,6 +287,7 @@
       retryMs = RETRY_MS;
       ownEntryRevision = result.value();
       loop.after(LEASE_RENEWAL_MS, () -> renewLease(number));
+      rewriteIfChanged(number, written);
     } else if (result.status() == Status.NOT_FOUND) {
       loop.after(nextRetryMs(), () -> rejoin(number));
     } else {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -69,6 +69,29 @@
     assertThat(store.count("write")).isZero();
   }
 
+  @Test
+  void entryThatChangesDuringTheRegistrationIsWrittenAgain() {
+    store.immediate = false;
+    loseOwnEntry();
+    store.last("grant").onResult().accept(new UpdateResult(Status.OK, 7));
+    RecordingStore.Call registration = store.last("write");
+    fleet.setOwnEntry(new FleetEntry("127.0.0.1:9", 2, "z"));
+    store.calls.clear();
+    registration.onResult().accept(new UpdateResult(Status.OK, 1_001));
+    assertThat(store.count("write")).isOne();
+    assertThat(store.last("write").lease()).isEqualTo(7);
+  }
+
+  @Test
+  void entryThatADelayedWriteReplacedIsWrittenAgain() {
+    fleet.setOwnEntry(new FleetEntry("127.0.0.1:9", 2, "z"));
+    store.calls.clear();
+    fleet.apply(new Item(OWN_KEY, "127.0.0.1:9 2 z".getBytes(), 1_001));
+    assertThat(store.count("write")).isZero();
+    fleet.apply(new Item(OWN_KEY, "127.0.0.1:9 1 z".getBytes(), 1_002));
+    assertThat(store.count("write")).isOne();
+  }
+
   @Test
   void removalOfAnEarlierEntryIsIgnored() {
     final int grants = store.count("grant");
