Apply a settings file only once it has been read twice alike

Found by the review of the reload: a file cut in the middle of its last line may be valid (a capacity of 1 for 1000) and was applied at once; a change between the first read and the first check, or within one tick of the file's time, was missed for good; a change of the grace during a stop moved the end that the platform counts from the signal; and harmful values (no grace, keys that are never valid) were taken from a running instance. Now the text itself is compared every second and at SIGHUP, and applied when two reads 150 ms apart agree; the grace is fixed when a stop begins; both values have minimums. restart_needed compares with what is in force. Half-written files have no test of their own.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.ServiceLoader;
@@ -43,9 +44,10 @@
             .orElseThrow(() -> new UsageException("no platform adapter in this binary"));
     EventLoop loop = new EventLoop();
     Path file = Path.of((String) parsed.valueOf("settings"));
-    GatewaySettings settings = GatewaySettingsReader.read(file);
+    String text = readText(file);
+    GatewaySettings settings = GatewaySettingsReader.parse(file.toString(), text);
     Gateway gateway = new Gateway(loop, settings, platform);
-    SettingsReloader reloader = new SettingsReloader(loop, file, settings, gateway::apply);
+    SettingsReloader reloader = new SettingsReloader(loop, file, text, settings, gateway::apply);
     gateway.start();
     reloader.start();
     signals.attach(listener(loop, gateway, reloader));
@@ -53,6 +55,14 @@
     return ExitCode.OK;
   }
 
+  private static String readText(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException e) {
+      throw new UsageException(file + " cannot be read: " + e);
+    }
+  }
+
   private static ProcessSignals.Listener listener(
       EventLoop loop, Gateway gateway, SettingsReloader reloader) {
     return new ProcessSignals.Listener() {
@@ -63,7 +73,7 @@
 
       @Override
       public void onSettingsChanged() {
-        loop.post(reloader::reload);
+        loop.post(reloader::onSignal);
       }
     };
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -67,13 +67,14 @@
   private boolean halted;
   private boolean stopping;
   private long stoppingNanos;
+  private long stopGraceMs;
 
   /** Creates an instance on {@code loop}; {@link #start} opens its ports. */
   public Gateway(EventLoop loop, GatewaySettings settings, PlatformAdapter platform) {
     this.loop = loop;
     this.settings = settings;
     this.platform = platform;
-    declarations = new Declarations(loop, settings.keyValidityMs() - KEY_VALIDITY_MARGIN_MS);
+    declarations = new Declarations(loop, usableKeyValidityMs(settings));
     store = new CountingStore(platform.store(loop, settings.storeAddress()), metrics);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
@@ -149,10 +150,19 @@
     loop.every(TICK_MS, this::tick);
   }
 
-  /** Applies those of {@code newer} that need no restart. */
+  /**
+   * Returns the time for which a proof allows keys and shares of rates to be used. It is shorter
+   * than the lease of a member, so that no share is taken over while it may still be in use.
+   */
+  private static long usableKeyValidityMs(GatewaySettings settings) {
+    long validityMs = Math.min(settings.keyValidityMs(), FleetMembership.LEASE_TTL_MS);
+    return validityMs - KEY_VALIDITY_MARGIN_MS;
+  }
+
+  /** Replaces the settings. Identity and listen addresses have to be those of the start. */
   public void apply(GatewaySettings newer) {
-    settings = settings.withApplicable(newer);
-    declarations.setKeyValidityMs(settings.keyValidityMs() - KEY_VALIDITY_MARGIN_MS);
+    settings = newer;
+    declarations.setKeyValidityMs(usableKeyValidityMs(settings));
     store.setAddress(settings.storeAddress());
     promotionClient.setAddress(settings.promotionAddress());
     fleet.setOwnEntry(settings.fleetEntry());
@@ -242,8 +252,8 @@
     if (stoppingMs < BALANCER_REMOVAL_MS) {
       return;
     }
-    boolean pastHalf = stoppingMs > settings.stopGraceMs() / 2;
-    boolean nearEnd = stoppingMs > settings.stopGraceMs() - FORCED_CLOSE_BEFORE_END_MS;
+    boolean pastHalf = stoppingMs > stopGraceMs / 2;
+    boolean nearEnd = stoppingMs > stopGraceMs - FORCED_CLOSE_BEFORE_END_MS;
     int closed = 0;
     for (CallerSession session : List.copyOf(sessions)) {
       if (pastHalf) {
@@ -310,5 +320,7 @@
     Logger.info("event=stopping sessions={}", sessions.size());
     fleet.leave();
     stoppingNanos = loop.nowNanos();
+    // A change during the stop has no effect: the platform counts from the signal.
+    stopGraceMs = settings.stopGraceMs();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -22,6 +22,10 @@
   private static final Pattern DECIMAL_NUMBER = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,6})?");
   private static final Pattern ACKNOWLEDGED_BY = Pattern.compile("primary|replica");
   private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
+  // Proofs that keys are current arrive about once a second.
+  private static final long MIN_KEY_VALIDITY_MS = 1_500;
+  // A stop without any grace would abort all requests in flight.
+  private static final long MIN_GRACE_MS = 1_000;
 
   private final String file;
   private final SortedMap<String, Map<String, String>> sections;
@@ -37,6 +41,11 @@
     return new GatewaySettingsReader(file.toString(), IniFile.read(file)).read();
   }
 
+  /** Parses {@code text}; {@code name} identifies it in error messages. */
+  public static GatewaySettings parse(String name, String text) {
+    return new GatewaySettingsReader(name, IniFile.parse(name, text)).read();
+  }
+
   private GatewaySettings read() {
     GatewaySettings settings =
         GatewaySettings.builder()
@@ -46,8 +55,8 @@
             .peersListen(value("listen", "peers", ADDRESS))
             .metricsListen(value("listen", "metrics", ADDRESS))
             .platform(value("platform", "store", ADDRESS), value("platform", "promotion", ADDRESS))
-            .keyValidityMs(wholeNumber("bounds", "key_validity_ms"))
-            .stopGraceMs(wholeNumber("stop", "grace_ms"))
+            .keyValidityMs(wholeNumber("bounds", "key_validity_ms", MIN_KEY_VALIDITY_MS))
+            .stopGraceMs(wholeNumber("stop", "grace_ms", MIN_GRACE_MS))
             .capacity(
                 decimalNumber("capacity", "core_share") * decimalNumber("capacity", "cores"),
                 (long) decimalNumber("capacity", "link_mbps"))
@@ -84,8 +93,15 @@
     return value.isEmpty() ? 0 : Double.parseDouble(value);
   }
 
-  private long wholeNumber(String section, String key) {
+  private long wholeNumber(String section, String key, long minimum) {
     String value = value(section, key, WHOLE_NUMBER);
-    return value.isEmpty() ? 0 : Long.parseLong(value);
+    if (value.isEmpty()) {
+      return minimum;
+    }
+    long number = Long.parseLong(value);
+    if (number < minimum) {
+      errors.add(file + ": section [" + section + "] key " + key + ": below " + minimum);
+    }
+    return number;
   }
 }
