Log sessions that are refused

Found by the review of the incident's trace: five sessions at a restarting instance were refused (settings not loaded yet) without a line in its log, so that an on-call engineer could not find why. Each refused session is logged now with code, reason and version, within the bound on lines a second; never the key.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -119,6 +119,7 @@
   }
 
   private void refuseAndClose(FailureCode code, String reason) {
+    context.requestLog().logSessionRefusal(code, reason, context.declarations().current());
     context.callerCodec().writeFailure(channel.out(), code, reason);
     channel.closeAfterFlush();
     ended();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
@@ -1,5 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Declaration;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -26,11 +28,24 @@
 
   /** Logs a decision about the request {@code id}. */
   void logDecision(String id, String format, Object... values) {
-    if (!tryTakeLine()) {
+    log("event=request id=" + id + " " + format, values);
+  }
+
+  private void log(String format, Object... values) {
+    if (tryTakeLine()) {
+      Logger.info(format, values);
+    } else {
       droppedLines++;
-      return;
     }
-    Logger.info("event=request id=" + id + " " + format, values);
+  }
+
+  /** Logs a session that was refused, or ended because of a message that cannot be served. */
+  void logSessionRefusal(FailureCode code, String reason, Declaration declaration) {
+    log(
+        "event=session_refused code={} reason=\"{}\" version={}",
+        code,
+        reason,
+        declaration.version());
   }
 
   /** Logs a request that was refused before any part of it ran. */
