Keep a stopping instance's part of rates until its sessions have ended

Cause: a stop removed the instance's fleet entry first, and an instance without an entry has no part of any rate. If no other instance was live, or all stopped together, every statement of the drain was refused, with the reason "rate limit exceeded" although nothing exceeded the rate.

Now the entry stays, marked as leaving, and goes when the last session has ended. Homes, relays and observers are chosen among the instances that are not leaving, or among all if there is no other. Parts of rates move only when an entry goes, as before, so no part is used twice, also when several instances stop at once.

StopTest (1 and 3 instances, at the process): red before, all statements refused with one instance; green now. FleetMembershipTest, Gateway*Test: green. Not tested at the process: a stop with forwarding homes.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
@@ -8,9 +8,15 @@
  * @param address host and port for peers
  * @param weight relative capacity of the instance as a home or relay
  * @param failureDomain failure domain that the instance runs in
+ * @param leaving whether the instance is stopping and only ends the work that it has
  */
-record FleetEntry(String address, double weight, String failureDomain) {
+record FleetEntry(String address, double weight, String failureDomain, boolean leaving) {
   private static final int FIELD_COUNT = 3;
+  private static final String LEAVING_SUFFIX = ",leaving";
+
+  FleetEntry(String address, double weight, String failureDomain) {
+    this(address, weight, failureDomain, false);
+  }
 
   /** Decodes an entry; returns null if it is malformed. */
   static FleetEntry decode(String text) {
@@ -19,14 +25,21 @@
       return null;
     }
     try {
-      double weight = Double.parseDouble(fields[1]);
-      return weight >= 0 ? new FleetEntry(fields[0], weight, fields[2]) : null;
+      boolean leaving = fields[1].endsWith(LEAVING_SUFFIX);
+      int weightEnd = fields[1].length() - (leaving ? LEAVING_SUFFIX.length() : 0);
+      double weight = Double.parseDouble(fields[1].substring(0, weightEnd));
+      return weight >= 0 ? new FleetEntry(fields[0], weight, fields[2], leaving) : null;
     } catch (NumberFormatException e) {
       return null;
     }
   }
 
+  /** Returns this entry for an instance that is stopping. */
+  FleetEntry asLeaving() {
+    return new FleetEntry(address, weight, failureDomain, true);
+  }
+
   String encode() {
-    return address + " " + weight + " " + failureDomain;
+    return address + " " + weight + (leaving ? LEAVING_SUFFIX : "") + " " + failureDomain;
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -21,7 +21,9 @@
 
 /**
  * Tracks the live instances: each registers itself with a store entry that is bound to its own
- * lease.
+ * lease. An instance that is stopping keeps its entry, marked as leaving, until it has ended its
+ * work. Until then it holds its parts of rates; other duties go to instances that are not leaving,
+ * if there are any.
  *
  * <p>Invariant: one registration is current; only its lease is renewed, and the lease of an earlier
  * one is revoked. Thread safety: confined to the loop's thread.
@@ -48,8 +50,7 @@
   private long retryMs = RETRY_MS;
   private List<String> relayCandidates = List.of();
   private long rankedChangeCount = -1;
-  private boolean rankedWhileLeaving;
-  private boolean leaving;
+  private boolean left;
 
   FleetMembership(EventLoop loop, KeyValueStore store, String instance, FleetEntry own) {
     this.loop = loop;
@@ -72,10 +73,10 @@
     return changeCount;
   }
 
-  /** Returns the live instances with their weights. */
+  /** Returns the instances that take duties, with their weights. */
   List<HomePlan.Member> members() {
     List<HomePlan.Member> all = new ArrayList<>();
-    members.forEach((id, entry) -> all.add(new HomePlan.Member(id, entry.weight())));
+    stayingIds().forEach(id -> all.add(new HomePlan.Member(id, members.get(id).weight())));
     if (all.isEmpty()) {
       all.add(new HomePlan.Member(instance, 1));
     }
@@ -87,9 +88,8 @@
    * counts as a member even before it is registered.
    */
   List<String> relayCandidates() {
-    if (rankedChangeCount != changeCount || rankedWhileLeaving != leaving) {
+    if (rankedChangeCount != changeCount) {
       rankedChangeCount = changeCount;
-      rankedWhileLeaving = leaving;
       relayCandidates = relayCandidates(own.failureDomain());
     }
     return relayCandidates;
@@ -99,11 +99,12 @@
     List<RelayRanking.Member> inDomain = new ArrayList<>();
     members.forEach(
         (id, entry) -> {
-          if (entry.failureDomain().equals(failureDomain) && !id.equals(instance)) {
+          boolean candidate = !entry.leaving() && !id.equals(instance);
+          if (candidate && entry.failureDomain().equals(failureDomain)) {
             inDomain.add(new RelayRanking.Member(id, entry.weight()));
           }
         });
-    if (failureDomain.equals(own.failureDomain()) && !leaving) {
+    if (failureDomain.equals(own.failureDomain()) && !own.leaving()) {
       inDomain.add(new RelayRanking.Member(instance, own.weight()));
     }
     return RelayRanking.of(failureDomain, inDomain);
@@ -112,7 +113,9 @@
   /** Returns the first candidate for the relay of each other failure domain. */
   Set<String> relaysOfOtherDomains() {
     Set<String> domains = new HashSet<>();
-    members.values().forEach(entry -> domains.add(entry.failureDomain()));
+    members.values().stream()
+        .filter(entry -> !entry.leaving())
+        .forEach(entry -> domains.add(entry.failureDomain()));
     domains.remove(own.failureDomain());
     Set<String> relays = new HashSet<>();
     domains.forEach(domain -> relays.add(relayCandidates(domain).get(0)));
@@ -131,6 +134,10 @@
       return;
     }
     FleetEntry entry = decode(item);
+    if (entry != null && name.equals(instance)) {
+      // The store may not have received the latest one yet.
+      entry = own;
+    }
     FleetEntry previous = entry == null ? members.remove(name) : members.put(name, entry);
     if (!Objects.equals(previous, entry)) {
       changeCount++;
@@ -159,6 +166,13 @@
     return members.keySet();
   }
 
+  /** Returns the ids of the instances that take duties: all that are not leaving, if any. */
+  Set<String> stayingIds() {
+    Set<String> staying = new HashSet<>(members.keySet());
+    staying.removeIf(id -> members.get(id).leaving());
+    return staying.isEmpty() ? members.keySet() : staying;
+  }
+
   /** Returns whether {@code id} is a member in this instance's failure domain. */
   boolean isInOwnDomain(String id) {
     FleetEntry entry = members.get(id);
@@ -189,7 +203,7 @@
    * registration: its lease is revoked and no longer renewed.
    */
   void join() {
-    if (leaving) {
+    if (left) {
       return;
     }
     registered = false;
@@ -200,10 +214,12 @@
 
   /** Sets this instance's entry, and writes it again under the same lease if it differs. */
   void setOwnEntry(FleetEntry entry) {
-    if (entry.equals(own)) {
+    FleetEntry newer = own.leaving() ? entry.asLeaving() : entry;
+    if (newer.equals(own)) {
       return;
     }
-    own = entry;
+    own = newer;
+    members.computeIfPresent(instance, (id, previous) -> newer);
     changeCount++;
     if (registered) {
       rewriteEntry(registration);
@@ -231,7 +247,7 @@
   }
 
   private boolean isCurrent(long number) {
-    return number == registration && !leaving;
+    return number == registration && !left;
   }
 
   private void grantLease(long number) {
@@ -319,12 +335,17 @@
 
   /** Stops renewing the lease, so that this instance's entry expires. */
   void halt() {
-    leaving = true;
+    left = true;
+  }
+
+  /** Marks this instance's entry as leaving. */
+  void prepareToLeave() {
+    setOwnEntry(own.asLeaving());
   }
 
   /** Revokes the lease, which removes this instance's entry. */
   void leave() {
-    leaving = true;
+    left = true;
     revokeLease();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -34,6 +34,8 @@
   // The load balancer probes every second and removes an instance after two failed probes.
   private static final long BALANCER_REMOVAL_MS = 2_200;
   private static final long FORCED_CLOSE_BEFORE_END_MS = 700;
+  // Time for the call that removes the fleet entry; the entry expires if it is lost.
+  private static final long LEAVE_MS = 100;
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
@@ -66,6 +68,7 @@
   private final HomeRouter homes;
   private boolean halted;
   private boolean stopping;
+  private boolean stopped;
   private long stoppingNanos;
 
   /** Creates an instance on {@code loop}; {@link #start} opens its ports. */
@@ -256,9 +259,11 @@
         closed++;
       }
     }
-    if (sessions.isEmpty()) {
+    if (sessions.isEmpty() && !stopped) {
+      stopped = true;
       Logger.info("event=stopped instance={} after_ms={}", settings.id(), stoppingMs);
-      onStopped.run();
+      fleet.leave();
+      loop.after(LEAVE_MS, onStopped);
     }
   }
 
@@ -295,7 +300,7 @@
   }
 
   /**
-   * Begins a graceful shutdown: leaves the fleet, drains sessions, and then runs {@code action}.
+   * Begins a graceful shutdown: drains sessions, leaves the fleet, and then runs {@code action}.
    */
   public void stop(Runnable action) {
     loop.post(() -> beginStop(action));
@@ -308,7 +313,7 @@
     onStopped = action;
     stopping = true;
     Logger.info("event=stopping sessions={}", sessions.size());
-    fleet.leave();
+    fleet.prepareToLeave();
     stoppingNanos = loop.nowNanos();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -3,7 +3,6 @@
 import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.placement.HomePlan;
 import io.hickorydrift.proxy.net.EventLoop;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -160,14 +159,16 @@
   /** Returns the instances that probe the primary of {@code group}: all if {@link #isDirect}. */
   List<String> observers(String group) {
     if (isDirect(group)) {
-      List<String> all = new ArrayList<>(fleet.otherAddresses().keySet());
+      Set<String> all = new LinkedHashSet<>(fleet.stayingIds());
       all.add(self);
-      return all;
+      return List.copyOf(all);
     }
     return plan().rankedInstances(group);
   }
 
-  /** Returns the candidates for rate holders: the instances that count operations. */
+  /**
+   * Returns the candidates for rate holders: the instances that count operations, at a stop too.
+   */
   Set<String> rateHolderCandidates() {
     if (allGroupsDirect()) {
       return fleet.instanceIds();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -77,4 +77,40 @@
     assertThat(fleet.isMember()).isTrue();
     assertThat(store.count("grant")).isEqualTo(grants);
   }
+
+  private void applyEntry(String instance, String entry, long revision) {
+    fleet.apply(new Item("fleet/" + instance, entry.getBytes(), revision));
+  }
+
+  @Test
+  void leavingInstanceKeepsItsEntryAndGivesUpDuties() {
+    applyEntry("gw-0", "127.0.0.1:9 1.0 z", 1_001);
+    applyEntry("gw-1", "127.0.0.1:8 1.0 z", 1_002);
+    fleet.prepareToLeave();
+    assertThat(fleet.isMember()).isTrue();
+    assertThat(store.count("revoke")).isZero();
+    assertThat(fleet.members()).extracting("id").containsExactly("gw-1");
+    assertThat(fleet.instanceIds()).containsExactlyInAnyOrder("gw-0", "gw-1");
+  }
+
+  @Test
+  void leavingInstancesShareDutiesIfNoOtherIsLive() {
+    applyEntry("gw-0", "127.0.0.1:9 1.0 z", 1_001);
+    applyEntry("gw-1", "127.0.0.1:8 1.0,leaving z", 1_002);
+    fleet.prepareToLeave();
+    assertThat(fleet.members()).extracting("id").containsExactlyInAnyOrder("gw-0", "gw-1");
+  }
+
+  @Test
+  void leavingInstanceRenewsItsLeaseUntilItLeaves() throws IOException {
+    fleet.prepareToLeave();
+    store.calls.clear();
+    runForMs(OBSERVED_MS);
+    assertThat(store.count("renew")).isPositive();
+    fleet.leave();
+    assertThat(store.count("revoke")).isEqualTo(1);
+    store.calls.clear();
+    runForMs(OBSERVED_MS);
+    assertThat(store.calls).isEmpty();
+  }
 }
