Say when no holder of a rate could be reached

Cause: each refusal without a token said "rate limit exceeded", also when this instance has no part of the rate and no instance that has one answered. On-call engineers then compared rates that were not the cause.

The limiter now gives the cause with each refusal; the reason becomes "no holder of the rate reached". SharedRateLimiterTest.refusalNamesItsCause (4 rows) tests it; SharedRateLimiterTest and LimitUnderFaultsTest: green.

--- a/core/src/main/java/io/hickorydrift/core/limit/RateLimitAction.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/RateLimitAction.java
@@ -17,8 +17,22 @@
    *
    * @param ticket ticket of the request
    * @param retryAfterMs delay after which to retry, in milliseconds
+   * @param cause why no token was available
    */
-  record Refuse(long ticket, long retryAfterMs) implements RateLimitAction {}
+  record Refuse(long ticket, long retryAfterMs, Cause cause) implements RateLimitAction {
+    /** Rejects a request beyond the rate. */
+    public Refuse(long ticket, long retryAfterMs) {
+      this(ticket, retryAfterMs, Cause.RATE_EXCEEDED);
+    }
+  }
+
+  /** Why a request is rejected. */
+  enum Cause {
+    /** The rate is used up. */
+    RATE_EXCEEDED,
+    /** This instance has no part of the rate, and no instance that has one answered. */
+    NO_HOLDER_REACHED
+  }
 
   /**
    * Requests tokens from a peer.
--- a/core/src/main/java/io/hickorydrift/core/limit/SharedRateLimiter.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SharedRateLimiter.java
@@ -28,6 +28,8 @@
   // would fail.
   private static final long ROUND_BACKOFF_NANOS = 8_000_000L;
   private static final int MAX_BACKOFF_STEPS = 4;
+  // Longer than the longest pause between rounds, so that holders that answer are known to.
+  private static final long RECENT_ANSWER_NANOS = 250_000_000L;
   private static final long ANSWER_TIMEOUT_NANOS = 30_000_000L;
   // A token that is valid for less than a round trip would expire before its arrival.
   private static final long MIN_USEFUL_VALIDITY_NANOS = 5_000_000L;
@@ -53,6 +55,9 @@
     private long requestSentNanos;
     private long nextRoundNanos;
     private int backoffSteps;
+    private double part;
+    private boolean holderAnswered;
+    private long lastAnswerNanos;
     private double demandPerSecond;
     private int arrivals;
     private long windowStartNanos;
@@ -92,6 +97,7 @@
       return;
     }
     state.holders = reachable;
+    state.part = part;
     double rate = state.limit.ratePerSecond();
     state.bucket.resize(rate * part, state.limit.bucketCapacity() * part, nowNanos);
   }
@@ -118,7 +124,7 @@
     if (state.queue.isEmpty() && tryTake(state, nowNanos)) {
       actions.add(new RateLimitAction.Admit(ticket));
     } else if (state.holders.isEmpty() && state.bucket.level(nowNanos) <= 0) {
-      actions.add(new RateLimitAction.Refuse(ticket, retryAfterMs(state)));
+      actions.add(refuse(state, ticket, nowNanos));
     } else {
       state.queue.addLast(new QueuedOperation(ticket, nowNanos + MAX_QUEUE_WAIT_NANOS));
     }
@@ -163,6 +169,8 @@
       return actions;
     }
     state.requestInFlight = false;
+    state.holderAnswered = true;
+    state.lastAnswerNanos = nowNanos;
     if (answer.tokens() > 0) {
       long validityNanos = state.limit.tokenValidityNanos();
       state.borrowed.add(answer.tokens(), pending.sentNanos + validityNanos);
@@ -197,7 +205,7 @@
       if (tryTake(state, nowNanos)) {
         actions.add(new RateLimitAction.Admit(first.ticket));
       } else if (first.deadlineNanos - nowNanos <= 0) {
-        actions.add(new RateLimitAction.Refuse(first.ticket, retryAfterMs(state)));
+        actions.add(refuse(state, first.ticket, nowNanos));
       } else {
         return;
       }
@@ -260,6 +268,16 @@
     state.windowStartNanos = nowNanos;
   }
 
+  private static RateLimitAction refuse(OrganisationState state, long ticket, long nowNanos) {
+    boolean answered =
+        state.holderAnswered && nowNanos - state.lastAnswerNanos <= RECENT_ANSWER_NANOS;
+    RateLimitAction.Cause cause =
+        state.part > 0 || answered
+            ? RateLimitAction.Cause.RATE_EXCEEDED
+            : RateLimitAction.Cause.NO_HOLDER_REACHED;
+    return new RateLimitAction.Refuse(ticket, retryAfterMs(state), cause);
+  }
+
   private static long retryAfterMs(OrganisationState state) {
     double queued = state.queue.size() + 1;
     double rate = Math.max(state.limit.ratePerSecond(), 0.001);
--- a/core/src/test/java/io/hickorydrift/core/limit/SharedRateLimiterTest.java
+++ b/core/src/test/java/io/hickorydrift/core/limit/SharedRateLimiterTest.java
@@ -269,4 +269,34 @@
         new GrantAnswer(tokenRequest.request().correlationId(), ORGANISATION, 0, 3), 2 * MS);
     assertThat(limiter.level(ORGANISATION, 2 * MS)).isZero();
   }
+
+  private static RateLimitAction.Cause refusalCause(
+      SharedRateLimiter limiter, List<String> reachable, double part, boolean answered) {
+    limiter.setLimits(Map.of(ORGANISATION, new RateLimit(10, 10)), 0);
+    limiter.setHolders(ORGANISATION, reachable, part, 0);
+    List<RateLimitAction> actions = new ArrayList<>(limiter.acquire(ORGANISATION, 1, 0));
+    if (answered) {
+      limiter.onGrantAnswer(new GrantAnswer(1, ORGANISATION, 0, 0), MS);
+    }
+    actions.addAll(limiter.tick(40 * MS));
+    for (RateLimitAction action : actions) {
+      if (action instanceof RateLimitAction.Refuse refuse) {
+        return refuse.cause();
+      }
+    }
+    return null;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'', 0, false, NO_HOLDER_REACHED",
+    "gw-1, 0, false, NO_HOLDER_REACHED",
+    "gw-1, 0, true, RATE_EXCEEDED",
+    "'', 0.5, false, RATE_EXCEEDED"
+  })
+  void refusalNamesItsCause(
+      String holder, double part, boolean answered, RateLimitAction.Cause cause) {
+    List<String> reachable = holder.isEmpty() ? List.of() : List.of(holder);
+    assertThat(refusalCause(new SharedRateLimiter(), reachable, part, answered)).isEqualTo(cause);
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
@@ -145,9 +145,13 @@
       if (action instanceof RateLimitAction.Admit admit) {
         listeners.remove(admit.ticket()).admitted();
       } else if (action instanceof RateLimitAction.Refuse refuse) {
+        String cause =
+            refuse.cause() == RateLimitAction.Cause.NO_HOLDER_REACHED
+                ? "no holder of the rate reached"
+                : "rate limit exceeded";
         listeners
             .remove(refuse.ticket())
-            .refused("rate limit exceeded; retry in " + refuse.retryAfterMs() + " ms");
+            .refused(cause + "; retry in " + refuse.retryAfterMs() + " ms");
       } else if (action instanceof RateLimitAction.RequestTokens tokens) {
         peers.requestTokens(tokens.peer(), tokens.request());
       }
