--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -133,18 +133,16 @@
       // An event about the entry of an earlier run, or of a lease that has been replaced.
       return;
     }
-    FleetEntry entry = decode(item);
-    if (entry != null && name.equals(instance)) {
-      // The store may not have received the latest one yet.
-      entry = own;
-    }
+    FleetEntry stored = decode(item);
+    // The store may not have received the latest own entry yet.
+    FleetEntry entry = stored != null && name.equals(instance) ? own : stored;
     FleetEntry previous = entry == null ? members.remove(name) : members.put(name, entry);
     if (!Objects.equals(previous, entry)) {
       changeCount++;
       Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
     }
     if (name.equals(instance) && registered) {
-      reconcileOwnEntry(entry);
+      reconcileOwnEntry(stored);
     }
   }
 
