Bound the memory of unfinished messages

Cause: each connection may hold an unfinished message of up to 1 MiB, and nothing bounded their sum. 200 callers with such a request used up the heap of 128 MiB; the OutOfMemoryError left the event loop and ended the process, with all other sessions in it: again an event without a decision of ours.

Now the loop accounts for unfinished messages beyond 4 KiB each; a connection that grows while their sum exceeds a quarter of the heap is closed. Ruled out: a smaller limit for one message (the protocol allows 1 MiB).

CallerConnectionEventsTest.unfinishedRequestsOfManyCallersAreBounded: red before (connection refused, the process was gone), green now. TcpChannelTest, EventLoopTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
@@ -22,6 +22,18 @@
     return true;
   }
 
+  /**
+   * Called when the remote end has closed its sending direction. Returns whether requests that were
+   * received before are still to be answered; the handler then closes the connection when they are.
+   * Otherwise the connection is closed.
+   */
+  default boolean continuesAfterRemoteEnd() {
+    return false;
+  }
+
+  /** Called once after {@link TcpChannel#notifyWhenSent} when no byte is left to send. */
+  default void sent() {}
+
   /**
    * Called once when the connection fails or the remote end closes it; not called if this side
    * does.
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -24,6 +24,8 @@
 public final class EventLoop {
   private static final int BUFFER_BYTES = 64 * 1024;
   private static final int MAX_SELECT_MS = 1_000;
+  // The rest of the heap is for everything else, and for the copies made while a message is read.
+  private static final int UNREAD_SHARE_OF_HEAP = 4;
 
   /** A timer that can be cancelled. */
   public static final class Timer implements Comparable<Timer> {
@@ -60,6 +62,8 @@
   private final List<TcpChannel> unflushedChannels = new ArrayList<>();
   private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
   private final ByteBuffer writeBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
+  private final long maxUnreadBytes = Runtime.getRuntime().maxMemory() / UNREAD_SHARE_OF_HEAP;
+  private long unreadBytes;
   private volatile boolean stopped;
 
   /** Opens the selector. */
@@ -210,6 +214,16 @@
     unflushedChannels.clear();
   }
 
+  /** Adds to the memory that unfinished messages of all channels occupy. */
+  void addUnreadBytes(long bytes) {
+    unreadBytes += bytes;
+  }
+
+  /** Returns whether unfinished messages occupy more memory than they may. */
+  boolean hasTooManyUnreadBytes() {
+    return unreadBytes > maxUnreadBytes;
+  }
+
   Selector selector() {
     return selector;
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -20,6 +20,9 @@
   private static final int MAX_MESSAGE_BYTES = 1 << 20;
   // One message and the beginning of the next.
   private static final int MAX_UNREAD_BYTES = MAX_MESSAGE_BYTES + 64 * 1024;
+  // Short messages are not accounted for, so that callers with normal requests are not affected by
+  // those that send much.
+  private static final int UNACCOUNTED_BYTES = 4 * 1024;
   private static final long LINGERING_CLOSE_MS = 300;
 
   private final EventLoop loop;
@@ -33,7 +36,11 @@
   private boolean flushScheduled;
   private boolean closed;
   private boolean closeWhenFlushed;
+  private boolean writeBlocked;
+  private boolean notifyWhenSent;
   private boolean discarding;
+  private boolean readingPaused;
+  private boolean remoteEnded;
 
   private TcpChannel(EventLoop loop, SocketChannel socket) {
     this.loop = loop;
@@ -108,6 +115,7 @@
       return;
     }
     closed = true;
+    setUnread(null);
     if (key != null) {
       key.cancel();
     }
@@ -130,6 +138,62 @@
     out();
   }
 
+  /** Receives nothing until {@link #resumeReading}, so that the remote end has to wait. */
+  public void pauseReading() {
+    readingPaused = true;
+    setInterest();
+  }
+
+  /** Receives again; bytes that were left unread are passed to the handler first. */
+  public void resumeReading() {
+    if (!readingPaused) {
+      return;
+    }
+    readingPaused = false;
+    setInterest();
+    if (unread != null) {
+      // Not at once, since the caller may be the handler itself.
+      loop.after(0, this::deliverUnread);
+    }
+  }
+
+  private void deliverUnread() {
+    if (closed || readingPaused || discarding || unread == null) {
+      return;
+    }
+    ByteBuffer in = unread.flip();
+    setUnread(null);
+    handler.received(in);
+    if (!closed) {
+      saveUnread(in);
+    }
+  }
+
+  /** Calls {@link ChannelHandler#sent} when all bytes have been sent. */
+  public void notifyWhenSent() {
+    notifyWhenSent = true;
+    out();
+  }
+
+  /** Returns the number of bytes that have not been sent. */
+  public int unsentBytes() {
+    return out.size();
+  }
+
+  /** Returns whether the remote end has closed its sending direction. */
+  public boolean hasRemoteEnded() {
+    return remoteEnded;
+  }
+
+  private void setInterest() {
+    if (closed || key == null || key.interestOps() == SelectionKey.OP_CONNECT) {
+      return;
+    }
+    boolean reads = !readingPaused && !remoteEnded;
+    int writes = out.size() > 0 && writeBlocked ? SelectionKey.OP_WRITE : 0;
+    key.interestOps((reads ? SelectionKey.OP_READ : 0) | writes);
+  }
+
   @Override
   public void ready(SelectionKey selectedKey) throws IOException {
     if (closed) {
@@ -142,10 +206,11 @@
       return;
     }
     if (selectedKey.isWritable()) {
-      selectedKey.interestOps(SelectionKey.OP_READ);
+      writeBlocked = false;
+      setInterest();
       flush();
     }
-    if (!closed && selectedKey.isReadable()) {
+    if (!closed && !readingPaused && !remoteEnded && selectedKey.isReadable()) {
       read();
     }
   }
@@ -156,6 +221,9 @@
     if (count < 0) {
       if (discarding) {
         close();
+      } else if (handler.continuesAfterRemoteEnd()) {
+        remoteEnded = true;
+        setInterest();
       } else {
         failed(new IOException("closed by the remote end"));
       }
@@ -170,6 +238,7 @@
         && unread.position() + buffer.remaining() <= MAX_MESSAGE_BYTES
         && !handler.mayCompleteMessage(buffer.duplicate())) {
       appendUnread(buffer);
+      exceedsMemory();
       return;
     }
     ByteBuffer in = prependUnread(buffer);
@@ -186,14 +255,33 @@
     }
     appendUnread(buffer);
     ByteBuffer joined = unread.flip();
-    unread = null;
+    setUnread(null);
     return joined;
   }
 
+  /** Replaces the unread bytes and accounts for their memory. */
+  private void setUnread(ByteBuffer newUnread) {
+    loop.addUnreadBytes(accounted(newUnread) - accounted(unread));
+    unread = newUnread;
+  }
+
+  private static long accounted(ByteBuffer buffer) {
+    return buffer == null ? 0 : Math.max(0, buffer.capacity() - UNACCOUNTED_BYTES);
+  }
+
+  private boolean exceedsMemory() {
+    if (accounted(unread) == 0 || !loop.hasTooManyUnreadBytes()) {
+      return false;
+    }
+    failed(new IOException("too many unfinished messages"));
+    return true;
+  }
+
   private void appendUnread(ByteBuffer buffer) {
     int needed = unread.position() + buffer.remaining();
     if (needed > unread.capacity()) {
-      unread = ByteBuffer.allocate(Math.max(needed, 2 * unread.capacity())).put(unread.flip());
+      int capacity = Math.max(needed, 2 * unread.capacity());
+      setUnread(ByteBuffer.allocate(capacity).put(unread.flip()));
     }
     unread.put(buffer);
   }
@@ -206,7 +294,8 @@
       failed(new IOException("message too large"));
       return;
     }
-    unread = ByteBuffer.allocate(in.remaining()).put(in);
+    setUnread(ByteBuffer.allocate(in.remaining()).put(in));
+    exceedsMemory();
   }
 
   void flush() {
@@ -223,14 +312,21 @@
         int written = socket.write(buffer);
         out.discard(written);
         if (written < expected) {
-          key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+          writeBlocked = true;
+          setInterest();
           checkPendingBytes();
           return;
         }
       }
+      if (notifyWhenSent) {
+        notifyWhenSent = false;
+        loop.after(0, this::notifySent);
+      }
       if (closeWhenFlushed && !discarding) {
         discarding = true;
         socket.shutdownOutput();
+        readingPaused = false;
+        setInterest();
         loop.after(LINGERING_CLOSE_MS, this::close);
       }
     } catch (IOException e) {
@@ -238,6 +334,12 @@
     }
   }
 
+  private void notifySent() {
+    if (!closed) {
+      handler.sent();
+    }
+  }
+
   private void checkPendingBytes() {
     if (out.size() > MAX_PENDING_BYTES) {
       failed(new IOException("remote end reads too slowly"));
