Answer every request that was received on a connection

Cause: two events ended a connection with requests that had been read and, in part, sent to targets. A caller that closed only its sending direction was taken for one that had left; and a caller with more than 64 requests waiting was cut. Beside a stop or a SIGHUP both count as requests without an answer.

Now a connection whose caller has closed its sending direction is closed after the answers to what was received before; an idle one, or one that rests in a transaction, ends at once as before. Requests beyond 64, or beyond 64 KiB, wait in the connection, whose reading pauses; so do requests of a caller that does not read its answers. A session with waiting requests is not idle, so a stop does not close it between two of them.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -17,20 +17,28 @@
 
 /**
  * A caller's session; each connection is one session. Statements run one at a time, in order of
- * arrival.
+ * arrival. A connection whose caller has closed its sending direction is closed after the answers
+ * to the requests received before.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
 final class CallerSession implements ChannelHandler {
-  // A caller that follows the protocol sends one statement and waits for its answer, so it never
-  // has more than a few statements queued.
+  // A caller that follows the protocol sends one statement and waits for its answer. The requests
+  // of one that sends more wait in its connection.
   private static final int MAX_QUEUED_STATEMENTS = 64;
+  private static final int MAX_QUEUED_BYTES = 64 * 1024;
+  private static final int MAX_UNSENT_BYTES = 64 * 1024;
+
+  private record Queued(CallerMessage message, int bytes) {}
 
   private final GatewayContext context;
   private final TcpChannel channel;
   private final Consumer<CallerSession> onEnd;
   private final SessionData data = new SessionData();
-  private final ArrayDeque<CallerMessage> queued = new ArrayDeque<>();
+  private final ArrayDeque<Queued> queued = new ArrayDeque<>();
+  private int queuedBytes;
+  // Whether requests may wait in the connection.
+  private boolean backlogged;
   private String database;
   private String credential;
   private SessionState state = SessionState.IDLE;
@@ -48,18 +56,22 @@
 
   @Override
   public void received(ByteBuffer in) {
+    backlogged = false;
     while (!channel.isClosed()) {
+      if (queued.size() >= MAX_QUEUED_STATEMENTS || queuedBytes >= MAX_QUEUED_BYTES) {
+        backlogged = true;
+        channel.pauseReading();
+        return;
+      }
+      int start = in.position();
       CallerMessage message = context.callerCodec().decode(in);
       if (message == null) {
-        break;
-      }
-      if (queued.size() >= MAX_QUEUED_STATEMENTS) {
-        end("too many queued statements");
         return;
       }
-      queued.addLast(message);
+      queued.addLast(new Queued(message, in.position() - start));
+      queuedBytes += in.position() - start;
+      handleNext();
     }
-    handleNext();
   }
 
   @Override
@@ -69,11 +81,41 @@
 
   private void handleNext() {
     while (!running && !queued.isEmpty() && !channel.isClosed()) {
+      if (channel.unsentBytes() > MAX_UNSENT_BYTES) {
+        // The caller reads more slowly than it sends.
+        channel.notifyWhenSent();
+        return;
+      }
       receivedNanos = context.loop().nowNanos();
-      dispatch(queued.pollFirst());
+      Queued next = queued.pollFirst();
+      queuedBytes -= next.bytes;
+      dispatch(next.message);
+    }
+    if (running || channel.isClosed()) {
+      return;
+    }
+    if (backlogged) {
+      channel.resumeReading();
+    } else if (channel.hasRemoteEnded()) {
+      channel.closeAfterFlush();
+      ended();
     }
   }
 
+  @Override
+  public void sent() {
+    handleNext();
+  }
+
+  @Override
+  public boolean continuesAfterRemoteEnd() {
+    return hasUnansweredRequests();
+  }
+
+  private boolean hasUnansweredRequests() {
+    return running || backlogged || !queued.isEmpty();
+  }
+
   private void dispatch(CallerMessage message) {
     if (message instanceof CallerMessage.Open open) {
       openSession(open);
@@ -333,7 +375,7 @@
       context.callerCodec().writeFailure(channel.out(), outcome.failure(), outcome.reason());
     }
     context.callerCodec().writeReady(channel.out(), state, outcome.position());
-    if (closeAfterAnswer && state == SessionState.IDLE && queued.isEmpty()) {
+    if (closeAfterAnswer && state == SessionState.IDLE && queued.isEmpty() && !backlogged) {
       channel.closeAfterFlush();
       ended();
     }
@@ -371,7 +413,7 @@
    * interrupts no work.
    */
   boolean idleSince(long nanos) {
-    return !running && queued.isEmpty() && state == SessionState.IDLE && answeredNanos - nanos < 0;
+    return !hasUnansweredRequests() && state == SessionState.IDLE && answeredNanos - nanos < 0;
   }
 
   /** Rolls back an open transaction unless a statement of it is running. */
