Close connections on which no session is opened

Cause: a connection that never sent its opening request was kept for good, and each holds a descriptor. Callers that connect and stay silent could use up all of them. Now such a connection is closed after 5 s; callers give up after 2 s. CallerConnectionEventsTest.connectionWithoutSessionIsClosed: red before (open after 20 s), green now, as is the whole class (15 rows, 18.7 s).

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -28,6 +28,8 @@
   private static final int MAX_QUEUED_STATEMENTS = 64;
   private static final int MAX_QUEUED_BYTES = 64 * 1024;
   private static final int MAX_UNSENT_BYTES = 64 * 1024;
+  // Callers give up when a session takes 2 s to open.
+  private static final long OPEN_TIMEOUT_NANOS = 5_000_000_000L;
 
   private record Queued(CallerMessage message, int bytes) {}
 
@@ -36,6 +38,7 @@
   private final Consumer<CallerSession> onEnd;
   private final SessionData data = new SessionData();
   private final ArrayDeque<Queued> queued = new ArrayDeque<>();
+  private final long acceptedNanos;
   private int queuedBytes;
   // Whether requests may wait in the connection.
   private boolean backlogged;
@@ -52,6 +55,7 @@
     this.context = context;
     this.channel = channel;
     this.onEnd = onEnd;
+    acceptedNanos = context.loop().nowNanos();
   }
 
   @Override
@@ -424,8 +428,15 @@
     }
   }
 
-  /** Rolls back a transaction that exceeds the declared idle timeout. */
+  /**
+   * Closes a connection whose caller does not open a session, and rolls back a transaction that
+   * exceeds the declared idle timeout.
+   */
   void tick(long nowNanos) {
+    if (database == null && nowNanos - acceptedNanos > OPEN_TIMEOUT_NANOS) {
+      end("session not opened in time");
+      return;
+    }
     long idleMs = context.declarations().current().transactionIdleTimeoutMs();
     if (transaction == null || running || idleMs <= 0) {
       return;
