Pause accepting when no descriptor is left

Cause: an accept that fails leaves the connection in the queue, so the selector reports it again at once. With all descriptors used up the loop ran without a pause and wrote 44,844 log lines within a second. An accepted connection that could not be set up also kept its descriptor. Now accepting pauses for 100 ms, and the failure is logged once until an accept succeeds. ProcessLimitsTest.moreConnectionsThanDescriptorsKeepOutOnlyNewOnes: red before, green now. Not mended: sessions and other connections share the descriptors, so that with all of them used up no connection to a target or peer can be opened either; sessions that have theirs go on.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpListener.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpListener.java
@@ -15,9 +15,12 @@
 public final class TcpListener implements EventLoop.SelectionHandler {
   private static final int BACKLOG = 1_024;
   private static final int MAX_ACCEPTS_PER_ITERATION = 64;
+  private static final long RETRY_MS = 100;
 
   private final EventLoop loop;
   private final ServerSocketChannel socket;
+  private final SelectionKey key;
+  private boolean failing;
   private final Function<TcpChannel, ChannelHandler> handlerFactory;
 
   /** Listens at {@code address}; {@code handlerFactory} creates the handler of each connection. */
@@ -29,24 +32,51 @@
     socket = ServerSocketChannel.open();
     socket.configureBlocking(false);
     socket.bind(Addresses.parse(address), BACKLOG);
-    socket.register(loop.selector(), SelectionKey.OP_ACCEPT, this);
+    key = socket.register(loop.selector(), SelectionKey.OP_ACCEPT, this);
   }
 
   @Override
-  public void ready(SelectionKey key) throws IOException {
+  public void ready(SelectionKey selectedKey) throws IOException {
     for (int i = 0; i < MAX_ACCEPTS_PER_ITERATION; i++) {
       SocketChannel accepted = socket.accept();
       if (accepted == null) {
         return;
       }
+      failing = false;
+      start(accepted);
+    }
+  }
+
+  private void start(SocketChannel accepted) throws IOException {
+    try {
       TcpChannel channel = TcpChannel.accepted(loop, accepted);
       channel.start(handlerFactory.apply(channel));
+    } catch (IOException e) {
+      accepted.close();
+      throw e;
     }
   }
 
+  /**
+   * Accepts nothing for a moment. Connections wait in the queue meanwhile; while descriptors are
+   * used up, the selector would report them in every iteration.
+   */
   @Override
   public void failed(Exception cause) {
-    Logger.warn("event=accept_failed reason=\"{}\"", cause.getMessage());
+    if (!failing) {
+      failing = true;
+      Logger.warn("event=accept_failed reason=\"{}\"", cause.getMessage());
+    }
+    if (socket.isOpen()) {
+      key.interestOps(0);
+      loop.after(RETRY_MS, this::resume);
+    }
+  }
+
+  private void resume() {
+    if (key.isValid()) {
+      key.interestOps(SelectionKey.OP_ACCEPT);
+    }
   }
 
   /** Stops accepting connections. */
