Limit the headers of requests for readiness and metrics

Cause: the parser had no limit, so a header without an end grew until the memory was used up. Now 16 KiB are accepted; more are answered with 400 and the connection is closed. PortEventsTest.headerWithoutEndIsRefused (both ports): red before (all of 4 MiB taken), green now. HttpServerConnectionTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpServerConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpServerConnection.java
@@ -20,10 +20,12 @@
  */
 public final class HttpServerConnection implements ChannelHandler, HttpParser.RequestHandler {
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
 
   private final TcpChannel channel;
   private final Consumer<HttpExchange> onRequest;
-  private final HttpParser parser = new HttpParser((HttpParser.RequestHandler) this);
+  private final HttpParser parser =
+      new HttpParser((HttpParser.RequestHandler) this, MAX_HEADER_BYTES);
   private final Map<String, String> headers = new HashMap<>();
   private String method = "";
   private String path = "";
