Write the log without holding up the event loop

Cause: log lines were written to standard error on the event loop's thread. When nobody reads the pipe it is full after 64 KiB, the write blocks, and the instance stops answering callers, peers and probes; a signal blocks too. Now a thread of its own writes them from a buffer of 256 KiB; lines beyond it are dropped and counted (event=log_dropped). The end of the process waits up to 200 ms for the rest. Ruled out: a closed pipe (the write fails and is ignored; that row was green before). ProcessLimitsTest.logThatCannotBeWrittenHoldsUpNothing: red before, green now. ExitLogTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ExitLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ExitLog.java
@@ -11,12 +11,17 @@
  */
 final class ExitLog {
   private final long startNanos = System.nanoTime();
+  private final LogOutput output;
   private volatile Throwable error;
   private volatile boolean completed;
 
+  private ExitLog(LogOutput output) {
+    this.output = output;
+  }
+
   /** Returns a log that is written when the virtual machine shuts down. */
-  static ExitLog install() {
-    ExitLog log = new ExitLog();
+  static ExitLog install(LogOutput output) {
+    ExitLog log = new ExitLog(output);
     Runtime.getRuntime().addShutdownHook(new Thread(log::write, "exit-log"));
     return log;
   }
@@ -41,5 +46,6 @@
     } else {
       Logger.error("event=exit cause=error error=\"{}\" uptime_ms={}", error, uptimeMs);
     }
+    output.drain();
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/LogOutput.java
@@ -0,0 +1,114 @@
+package io.hickorydrift.proxy.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes the standard error stream on a thread of its own, so that a reader that is slow or gone
+ * holds up no other thread. Bytes that do not fit into the bounded buffer are dropped; a line with
+ * their number follows once there is space.
+ *
+ * <p>Thread safety: safe.
+ */
+final class LogOutput extends OutputStream {
+  private static final int MAX_BUFFERED_BYTES = 256 * 1024;
+  // Bounds the time for which an output that is not read delays the end of the process.
+  private static final long MAX_DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final OutputStream target;
+  private final ArrayDeque<byte[]> buffered = new ArrayDeque<>();
+  private int bufferedBytes;
+  private long droppedBytes;
+  private boolean writing;
+
+  LogOutput(OutputStream target) {
+    this.target = target;
+    Thread writer = new Thread(this::writeForever, "log-output");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /** Makes the standard error stream of this process one that does not block. */
+  static LogOutput install() {
+    LogOutput output = new LogOutput(System.err);
+    System.setErr(new PrintStream(output, true, StandardCharsets.UTF_8));
+    return output;
+  }
+
+  @Override
+  public void write(int octet) {
+    write(new byte[] {(byte) octet}, 0, 1);
+  }
+
+  @Override
+  public synchronized void write(byte[] bytes, int offset, int length) {
+    if (bufferedBytes + length > MAX_BUFFERED_BYTES) {
+      droppedBytes += length;
+      return;
+    }
+    if (droppedBytes > 0) {
+      add(("event=log_dropped bytes=" + droppedBytes + "\n").getBytes(StandardCharsets.UTF_8));
+      droppedBytes = 0;
+    }
+    byte[] copy = new byte[length];
+    System.arraycopy(bytes, offset, copy, 0, length);
+    add(copy);
+  }
+
+  private void add(byte[] bytes) {
+    buffered.add(bytes);
+    bufferedBytes += bytes.length;
+    notifyAll();
+  }
+
+  /** Waits until everything has been written, for a bounded time. */
+  synchronized void drain() {
+    long endNanos = System.nanoTime() + MAX_DRAIN_NANOS;
+    try {
+      while (writing || !buffered.isEmpty()) {
+        long leftNanos = endNanos - System.nanoTime();
+        if (leftNanos <= 0) {
+          return;
+        }
+        TimeUnit.NANOSECONDS.timedWait(this, leftNanos);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void writeForever() {
+    while (true) {
+      byte[] next = awaitNext();
+      if (next == null) {
+        return;
+      }
+      try {
+        target.write(next);
+        target.flush();
+      } catch (IOException e) {
+        // Nobody reads the log; there is no other place to report it.
+      }
+    }
+  }
+
+  private synchronized byte[] awaitNext() {
+    writing = false;
+    notifyAll();
+    while (buffered.isEmpty()) {
+      try {
+        wait();
+      } catch (InterruptedException e) {
+        return null;
+      }
+    }
+    writing = true;
+    byte[] next = buffered.poll();
+    bufferedBytes -= next.length;
+    return next;
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -34,7 +34,8 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) {
-    ExitLog exitLog = ExitLog.install();
+    LogOutput logOutput = LogOutput.install();
+    ExitLog exitLog = ExitLog.install(logOutput);
     int code;
     try {
       code = run(Arrays.asList(arguments), System.out, System.err);
@@ -43,6 +44,7 @@
       throw e;
     }
     exitLog.recordCompletion();
+    logOutput.drain();
     System.exit(code);
   }
 
