Read messages of peers up to the size that they may have

Cause: a frame between instances may have 2 MiB, but a channel kept at most 1 MiB and 64 KiB of an unfinished message and then closed the link. Now the handler of a channel says how large its messages may be. PortEventsTest.largePeerMessageIsRead (1.4 MiB): red before (link closed), green now. TcpChannelTest, PeerMessageCodecTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
@@ -67,6 +67,11 @@
     traffic.write(channel.out(), peer, message);
   }
 
+  @Override
+  public int maxMessageBytes() {
+    return PeerMessageCodec.MAX_MESSAGE_BYTES;
+  }
+
   @Override
   public void received(ByteBuffer in) {
     lastReceivedNanos = loop.nowNanos();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -288,6 +288,11 @@
     sendPing();
   }
 
+  @Override
+  public int maxMessageBytes() {
+    return PeerMessageCodec.MAX_MESSAGE_BYTES;
+  }
+
   @Override
   public void received(ByteBuffer in) {
     lastReceivedNanos = loop.nowNanos();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
@@ -22,6 +22,10 @@
  */
 final class PeerMessageCodec {
   private static final int MAX_FRAME_BYTES = 2 * 1024 * 1024;
+
+  /** Maximum size of a frame with its length. */
+  static final int MAX_MESSAGE_BYTES = Integer.BYTES + MAX_FRAME_BYTES;
+
   static final int MAX_ITEMS = 100_000;
   private static final int PING = 1;
   private static final int PONG = 2;
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
@@ -22,6 +22,11 @@
     return true;
   }
 
+  /** Returns the maximum size of a message, and so the memory for one that is not complete. */
+  default int maxMessageBytes() {
+    return 1 << 20;
+  }
+
   /**
    * Called when the remote end has closed its sending direction. Returns whether requests that were
    * received before are still to be answered; the handler then closes the connection when they are.
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -17,9 +17,8 @@
 public final class TcpChannel implements EventLoop.SelectionHandler {
   // Bounds the memory spent on a remote end that does not read.
   private static final int MAX_PENDING_BYTES = 4 * 1024 * 1024;
-  private static final int MAX_MESSAGE_BYTES = 1 << 20;
-  // One message and the beginning of the next.
-  private static final int MAX_UNREAD_BYTES = MAX_MESSAGE_BYTES + 64 * 1024;
+  // The beginning of the next message, received with the end of one.
+  private static final int MAX_READ_AHEAD_BYTES = 64 * 1024;
   // Short messages are not accounted for, so that callers with normal requests are not affected by
   // those that send much.
   private static final int UNACCOUNTED_BYTES = 4 * 1024;
@@ -235,7 +234,7 @@
     loop.clock().refresh();
     buffer.flip();
     if (unread != null
-        && unread.position() + buffer.remaining() <= MAX_MESSAGE_BYTES
+        && unread.position() + buffer.remaining() <= handler.maxMessageBytes()
         && !handler.mayCompleteMessage(buffer.duplicate())) {
       appendUnread(buffer);
       exceedsMemory();
@@ -290,7 +289,7 @@
     if (!in.hasRemaining()) {
       return;
     }
-    if (in.remaining() > MAX_UNREAD_BYTES) {
+    if (in.remaining() > handler.maxMessageBytes() + MAX_READ_AHEAD_BYTES) {
       failed(new IOException("message too large"));
       return;
     }
