Pass headers of responses on in both directions

HttpResult holds the headers by lower-case name; a repeated one is joined by commas, so that a reader of one number sees that it can't be read. At most 64 are kept, and none of more than 1,024 characters with its name. HttpExchange answers with additional headers. No call changes its meaning.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -4,8 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
@@ -21,6 +24,8 @@
  */
 public final class HttpClient {
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_HEADERS = 64;
+  private static final int MAX_HEADER_CHARS = 1_024;
 
   private final EventLoop loop;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -63,6 +68,7 @@
     private TcpChannel channel;
     private Consumer<HttpResult> pendingCallback;
     private EventLoop.Timer timer;
+    private final Map<String, String> headers = new HashMap<>();
     private int status;
     private byte[] body = new byte[0];
 
@@ -135,10 +141,24 @@
     public void startResponse(HttpVersion version, int code, String reason) {
       status = code;
       body = new byte[0];
+      headers.clear();
     }
 
     @Override
-    public void parsedHeader(HttpField field) {}
+    public void parsedHeader(HttpField field) {
+      String name = field.getName().toLowerCase(Locale.ROOT);
+      String former = headers.get(name);
+      if (former == null && headers.size() == MAX_HEADERS) {
+        return;
+      }
+      String value = field.getValue() == null ? "" : field.getValue();
+      String joined = former == null ? value : former + "," + value;
+      if (name.length() + joined.length() <= MAX_HEADER_CHARS) {
+        headers.put(name, joined);
+      } else {
+        headers.remove(name);
+      }
+    }
 
     @Override
     public boolean headerComplete() {
@@ -164,7 +184,7 @@
 
     @Override
     public boolean messageComplete() {
-      HttpResult result = new HttpResult(status, body);
+      HttpResult result = new HttpResult(status, body, Map.copyOf(headers));
       parser.reset();
       if (!channel.isClosed()) {
         idle.addLast(this);
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpExchange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpExchange.java
@@ -47,17 +47,25 @@
 
   /** Sends the response. Ignored if one was sent before or the connection is closed. */
   public void respond(int status, String contentType, String content) {
+    respond(status, contentType, Map.of(), content);
+  }
+
+  /**
+   * Sends the response with {@code additionalHeaders}, which hold no line breaks. Ignored if one
+   * was sent before or the connection is closed.
+   */
+  public void respond(
+      int status, String contentType, Map<String, String> additionalHeaders, String content) {
     if (responded || channel.isClosed()) {
       return;
     }
     responded = true;
     byte[] bytes = content.getBytes(StandardCharsets.UTF_8);
-    channel
-        .out()
-        .text("HTTP/1.1 " + status + " -\r\nContent-Type: " + contentType + "\r\nContent-Length: ")
-        .text(String.valueOf(bytes.length))
-        .text("\r\n\r\n")
-        .octets(bytes);
+    OutBuffer out = channel.out();
+    out.text("HTTP/1.1 " + status + " -\r\nContent-Type: " + contentType + "\r\n");
+    additionalHeaders.forEach((name, value) -> out.text(name).text(": ").text(value).text("\r\n"));
+    out.text("Content-Length: ").text(String.valueOf(bytes.length)).text("\r\n\r\n");
+    out.octets(bytes);
   }
 
   /** Returns whether the request was answered or its connection closed. */
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -72,4 +72,101 @@
     loop.run();
     assertThat(results).extracting(HttpResult::status).containsExactly(HttpResult.NO_ANSWER);
   }
+
+  /** Answers one call with the lines {@code headers} as they are, and returns its result. */
+  private HttpResult callAnsweredWith(String headers) throws IOException {
+    String address = FreePorts.nextAddress();
+    new TcpListener(
+        loop,
+        address,
+        channel ->
+            new ChannelHandler() {
+              @Override
+              public void received(java.nio.ByteBuffer in) {
+                in.position(in.limit());
+                channel.out().text("HTTP/1.1 200 -\r\n" + headers + "Content-Length: 0\r\n\r\n");
+              }
+
+              @Override
+              public void closed(String reason) {}
+            });
+    new HttpClient(loop, address)
+        .call(
+            REQUEST,
+            2_000,
+            result -> {
+              results.add(result);
+              loop.stop();
+            });
+    loop.after(5_000, loop::stop);
+    loop.run();
+    assertThat(results).extracting(HttpResult::status).containsExactly(200);
+    return results.get(0);
+  }
+
+  @Test
+  void findsHeadersOfTheResponseInAnyCase() throws IOException {
+    HttpResult result = callAnsweredWith("X-Count: 7\r\n");
+    assertThat(result.header("x-count")).isEqualTo("7");
+    assertThat(result.header("X-COUNT")).isEqualTo("7");
+    assertThat(result.header("X-Other")).isNull();
+  }
+
+  @Test
+  void joinsTheValuesOfRepeatedHeaders() throws IOException {
+    assertThat(callAnsweredWith("X-Count: 7\r\nx-count: 8\r\n").header("X-Count")).isEqualTo("7,8");
+  }
+
+  @Test
+  void dropsHeadersThatAreTooLong() throws IOException {
+    HttpResult result = callAnsweredWith("X-Long: " + "v".repeat(1_500) + "\r\nX-Count: 7\r\n");
+    assertThat(result.header("X-Long")).isNull();
+    assertThat(result.header("X-Count")).isEqualTo("7");
+  }
+
+  @Test
+  void keepsABoundedNumberOfHeaders() throws IOException {
+    StringBuilder headers = new StringBuilder("X-Count: 7\r\n");
+    for (int i = 0; i < 200; i++) {
+      headers.append("X-").append(i).append(": 1\r\n");
+    }
+    HttpResult result = callAnsweredWith(headers.toString());
+    assertThat(result.headers()).hasSizeLessThanOrEqualTo(64);
+    assertThat(result.header("X-Count")).isEqualTo("7");
+  }
+
+  @Test
+  void keepsNoHeadersOfTheResponseBefore() throws IOException {
+    String address = FreePorts.nextAddress();
+    List<String> requests = new ArrayList<>();
+    new TcpListener(
+        loop,
+        address,
+        channel ->
+            new HttpServerConnection(
+                channel,
+                exchange -> {
+                  requests.add(exchange.path());
+                  Map<String, String> headers =
+                      requests.size() == 1 ? Map.of("X-Count", "7") : Map.of();
+                  exchange.respond(200, "text/plain", headers, "");
+                }));
+    HttpClient client = new HttpClient(loop, address);
+    client.call(
+        REQUEST,
+        2_000,
+        first -> {
+          results.add(first);
+          client.call(
+              REQUEST,
+              2_000,
+              second -> {
+                results.add(second);
+                loop.stop();
+              });
+        });
+    loop.after(5_000, loop::stop);
+    loop.run();
+    assertThat(results).extracting(result -> result.header("X-Count")).containsExactly("7", null);
+  }
 }
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpServerConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpServerConnectionTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,7 @@
   private final EventLoop loop = new EventLoop();
   private final List<HttpExchange> exchanges = new ArrayList<>();
   private final StringBuilder received = new StringBuilder();
+  private Map<String, String> additionalHeaders = Map.of();
   private boolean closed;
 
   private void runUntil(BooleanSupplier condition) throws IOException {
@@ -41,7 +43,7 @@
                 exchange -> {
                   exchanges.add(exchange);
                   if (answerAtOnce) {
-                    exchange.respond(200, "text/plain", exchange.path());
+                    exchange.respond(200, "text/plain", additionalHeaders, exchange.path());
                   }
                 }));
     ChannelHandler client =
@@ -75,4 +77,12 @@
     runUntil(() -> received.indexOf("/b") >= 0);
     assertThat(received.indexOf("/a")).isBetween(0, received.indexOf("/b"));
   }
+
+  @Test
+  void answersCarryAdditionalHeaders() throws IOException {
+    additionalHeaders = Map.of("X-Count", "7");
+    sendTwoRequests(true);
+    runUntil(() -> received.indexOf("/b") >= 0);
+    assertThat(received.toString().split("\r\nX-Count: 7\r\n", -1)).hasSize(3);
+  }
 }
