Let the soak restore the store from an older copy, if asked

SoakRunner takes its options as a record. Run: FaultScheduleTest (drawn only with the switch), HistoryCheckerTest, ProcessWatchTest: green. No soak was run with the switch.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/SoakCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/SoakCommand.java
@@ -23,7 +23,9 @@
 
   @Override
   public int run(List<String> arguments, PrintStream out) throws Exception {
-    Options options = new Options("soak [--seed N] [--minutes M] [--instances K] [--plant CHECK]");
+    Options options =
+        new Options(
+            "soak [--seed N] [--minutes M] [--instances K] [--plant CHECK] [--restore-store]");
     OptionSpec<Long> seed =
         options
             .parser()
@@ -51,6 +53,9 @@
             .accepts("plant", "Check to violate deliberately")
             .withRequiredArg()
             .defaultsTo("");
+    options
+        .parser()
+        .accepts("restore-store", "Also let the store return from an older copy of its data");
     OptionSet parsed = options.parse(arguments, out);
     if (parsed == null) {
       return ExitCode.OK;
@@ -61,10 +66,12 @@
             .orElseThrow(() -> new UsageException("no soak runner in this binary"));
     int violations =
         soak.run(
-            parsed.valueOf(seed),
-            (long) (parsed.valueOf(minutes) * SECONDS_PER_MINUTE),
-            parsed.valueOf(instances),
-            parsed.valueOf(plant),
+            new SoakRunner.Options(
+                parsed.valueOf(seed),
+                (long) (parsed.valueOf(minutes) * SECONDS_PER_MINUTE),
+                parsed.valueOf(instances),
+                parsed.valueOf(plant),
+                parsed.has("restore-store")),
             out);
     return violations == 0 ? ExitCode.OK : ExitCode.FAILED;
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/SoakRunner.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/SoakRunner.java
@@ -7,14 +7,17 @@
  */
 public interface SoakRunner {
   /**
-   * Runs the soak test and prints a report.
+   * Options of a run.
    *
    * @param seed seed of all random choices
    * @param seconds duration of the fault injection in seconds
    * @param instances number of gateway instances
    * @param plantedViolation name of the check for which to plant a violation, or empty
-   * @return number of violations found
+   * @param restoresStore whether the store may be restored from an older copy
    */
-  int run(long seed, long seconds, int instances, String plantedViolation, PrintStream out)
-      throws Exception;
+  record Options(
+      long seed, long seconds, int instances, String plantedViolation, boolean restoresStore) {}
+
+  /** Runs the soak test, prints a report, and returns the number of violations found. */
+  int run(Options options, PrintStream out) throws Exception;
 }
