--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
@@ -27,7 +27,7 @@
 
   @Override
   public int run(List<String> arguments, PrintStream out) throws IOException {
-    ProcessSignals signals = ProcessSignals.install();
+    final ProcessSignals signals = ProcessSignals.install();
     Options options = new Options("gateway --settings FILE");
     options.parser().accepts("settings", "The instance's settings").withRequiredArg();
     OptionSet parsed = options.parse(arguments, out);
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ServeCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ServeCommand.java
@@ -29,7 +29,7 @@
 
   @Override
   public int run(List<String> arguments, PrintStream out) throws InterruptedException {
-    ProcessSignals signals = ProcessSignals.install();
+    final ProcessSignals signals = ProcessSignals.install();
     Options options = new Options("serve --settings FILE");
     options.parser().accepts("settings", "The instance's settings").withRequiredArg();
     OptionSet parsed = options.parse(arguments, out);
--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ProcessTest.java
@@ -278,7 +278,7 @@
   void hangupAbortsNoRequest() throws Exception {
     AtomicBoolean stop = new AtomicBoolean();
     List<ResultCode> codes = Collections.synchronizedList(new ArrayList<>());
-    CompletableFuture<Void> writer =
+    final CompletableFuture<Void> writer =
         CompletableFuture.runAsync(
             () -> {
               for (int i = 0; !stop.get(); i++) {
