Leave descriptors to targets, peers and probes

Cause: callers' connections could use up all descriptors. Sessions with a connection to a target went on, but no new one to a target or peer could be opened, and probes of readiness were not accepted.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.ChannelHandler;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -14,6 +15,7 @@
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import io.hickorydrift.proxy.port.PromotionClient;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,6 +41,8 @@
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
+  private static final int MAX_REFUSED_CHANNELS = 16;
+  private static final String TOO_MANY_SESSIONS = "too many sessions; retry in 1000 ms";
   private static final String METRICS_PATH = "/metrics";
   private static final String PLAIN_TEXT = "text/plain";
   private static final int OK = 200;
@@ -48,6 +52,7 @@
   private GatewaySettings settings;
   private final PlatformAdapter platform;
   private final EventLoop loop;
+  private final List<TcpChannel> refusedChannels = new ArrayList<>();
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
   private final Declarations declarations;
   private final FleetMembership fleet;
@@ -190,12 +195,40 @@
     exchange.respond(known ? OK : NOT_FOUND, PLAIN_TEXT, known ? metrics.text() : "not found\n");
   }
 
-  private CallerSession acceptSession(TcpChannel channel) {
+  private ChannelHandler acceptSession(TcpChannel channel) {
+    if (sessions.size() >= settings.maxSessions()) {
+      context.requestLog().logDecision("-", "decision=refused reason=\"{}\"", TOO_MANY_SESSIONS);
+      refuse(channel);
+      return new RefusedConnection();
+    }
     CallerSession session = new CallerSession(context, channel, sessions::remove);
     sessions.add(session);
     return session;
   }
 
+  private void refuse(TcpChannel channel) {
+    refusedChannels.removeIf(TcpChannel::isClosed);
+    if (refusedChannels.size() >= MAX_REFUSED_CHANNELS) {
+      // Telling the reason holds the descriptor for a moment; a flood would use up all of them.
+      channel.close();
+      return;
+    }
+    refusedChannels.add(channel);
+    context.callerCodec().writeFailure(channel.out(), FailureCode.BUSY, TOO_MANY_SESSIONS);
+    channel.closeAfterFlush();
+  }
+
+  /** Ignores what a caller sends on a connection that is being closed. */
+  private static final class RefusedConnection implements ChannelHandler {
+    @Override
+    public void received(ByteBuffer in) {
+      in.position(in.limit());
+    }
+
+    @Override
+    public void closed(String reason) {}
+  }
+
   private void answerReadiness(HttpExchange exchange) {
     if (!exchange.path().equals(platform.readinessPath())) {
       exchange.respond(NOT_FOUND, PLAIN_TEXT, "not found\n");
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param stopGraceMs time from the stop signal to the end of the process
  * @param cores number of processor cores that the instance may use
  * @param linkMbps speed of its network link in megabits per second
+ * @param descriptors number of descriptors that the process may open
  * @param acknowledgement which targets need to have a commit before it is acknowledged to the
  *     caller
  */
@@ -35,7 +36,11 @@
     long stopGraceMs,
     double cores,
     long linkMbps,
+    long descriptors,
     Acknowledgement acknowledgement) {
+  /** Number of descriptors if it is not limited. */
+  public static final long UNLIMITED = Long.MAX_VALUE;
+
   // A home carries a group's traffic over its link twice, which an instance with less than this
   // cannot do.
   private static final double MIN_HOME_CORES = 0.6;
@@ -49,6 +54,14 @@
     return cores >= MIN_HOME_CORES && linkMbps >= MIN_HOME_LINK_MBPS ? cores : 0;
   }
 
+  /**
+   * Returns the maximum number of callers' connections. They leave a quarter of the descriptors to
+   * targets, peers, probes and files, without which no session could be served.
+   */
+  long maxSessions() {
+    return descriptors - descriptors / 4;
+  }
+
   /** Returns the entry with which this instance registers in the fleet. */
   FleetEntry fleetEntry() {
     return new FleetEntry(peersListen, homeWeight(), failureDomain);
@@ -72,6 +85,7 @@
         newer.stopGraceMs,
         newer.cores,
         newer.linkMbps,
+        newer.descriptors,
         newer.acknowledgement);
   }
 
@@ -94,6 +108,7 @@
     private long stopGraceMs;
     private double cores;
     private long linkMbps;
+    private long descriptors = UNLIMITED;
     private Acknowledgement acknowledgement = Acknowledgement.REPLICA;
 
     private Builder() {}
@@ -155,6 +170,12 @@
       return this;
     }
 
+    /** Sets the number of descriptors that the process may open. */
+    public Builder descriptors(long newDescriptors) {
+      descriptors = newDescriptors;
+      return this;
+    }
+
     /** Sets which targets need to have a commit before it is acknowledged to the caller. */
     public Builder acknowledgement(Acknowledgement newAcknowledgement) {
       acknowledgement = newAcknowledgement;
@@ -176,6 +197,7 @@
           stopGraceMs,
           cores,
           linkMbps,
+          descriptors,
           acknowledgement);
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -51,6 +51,7 @@
             .capacity(
                 decimalNumber("capacity", "core_share") * decimalNumber("capacity", "cores"),
                 (long) decimalNumber("capacity", "link_mbps"))
+            .descriptors(descriptors())
             .acknowledgement(acknowledgement())
             .build();
     if (!errors.isEmpty()) {
@@ -59,6 +60,12 @@
     return settings;
   }
 
+  private long descriptors() {
+    return sections.getOrDefault("capacity", Map.of()).containsKey("descriptors")
+        ? wholeNumber("capacity", "descriptors")
+        : GatewaySettings.UNLIMITED;
+  }
+
   private Acknowledgement acknowledgement() {
     if (!sections.getOrDefault("commits", Map.of()).containsKey("acknowledged_by")) {
       return Acknowledgement.REPLICA;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SettingsChange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SettingsChange.java
@@ -27,6 +27,7 @@
     APPLIED.put("stop.grace_ms", GatewaySettings::stopGraceMs);
     APPLIED.put("capacity.cores", GatewaySettings::cores);
     APPLIED.put("capacity.link_mbps", GatewaySettings::linkMbps);
+    APPLIED.put("capacity.descriptors", GatewaySettings::descriptors);
     APPLIED.put("commits.acknowledged_by", GatewaySettings::acknowledgement);
     RESTART_NEEDED.put("instance.id", GatewaySettings::id);
     RESTART_NEEDED.put("instance.failure_domain", GatewaySettings::failureDomain);
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpListener.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpListener.java
@@ -50,7 +50,10 @@
   private void start(SocketChannel accepted) throws IOException {
     try {
       TcpChannel channel = TcpChannel.accepted(loop, accepted);
-      channel.start(handlerFactory.apply(channel));
+      ChannelHandler handler = handlerFactory.apply(channel);
+      if (!channel.isClosed()) {
+        channel.start(handler);
+      }
     } catch (IOException e) {
       accepted.close();
       throw e;
