Answer requests that arrived before a stopping instance closes their session

Cause by reading: a stopping instance closes sessions that have been idle for 60 ms at a tick, which runs after the iteration's reads. A request that arrives after the reads is still unread then, and is lost however long the iteration takes. Class of fault: a decision on state that is older than the time of the decision. Now a session is read once more before it is closed as idle. What remains: a request under way in the network. GatewayStopTest: red before (the connection is reset), green now; GatewayTest, TcpChannelTest: green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -374,6 +374,22 @@
     return !running && queued.isEmpty() && state == SessionState.IDLE && answeredNanos - nanos < 0;
   }
 
+  /**
+   * Closes the connection if the session has been idle since {@code nanos}, unless a request has
+   * arrived that was not read yet. Returns whether it is closed.
+   */
+  boolean endIfIdle(long nanos, String reason) {
+    if (!idleSince(nanos)) {
+      return false;
+    }
+    // A long iteration of the event loop may have passed since the connection was last read.
+    channel.readArrived();
+    if (!channel.isClosed() && idleSince(nanos)) {
+      end(reason);
+    }
+    return channel.isClosed();
+  }
+
   /** Rolls back an open transaction unless a statement of it is running. */
   void rollBackIdleTransaction() {
     if (transaction != null && !running) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -34,6 +34,7 @@
   // The load balancer probes every second and removes an instance after two failed probes.
   private static final long BALANCER_REMOVAL_MS = 2_200;
   private static final long FORCED_CLOSE_BEFORE_END_MS = 700;
+  private static final String STOPPING = "instance is stopping";
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
@@ -250,9 +251,10 @@
         session.rollBackIdleTransaction();
         session.closeAfterAnswer();
       }
-      if (nearEnd
-          || session.idleSince(nowNanos - IDLE_SESSION_NANOS) && closed < MAX_CLOSES_PER_TICK) {
-        session.end("instance is stopping");
+      if (nearEnd) {
+        session.end(STOPPING);
+      } else if (closed < MAX_CLOSES_PER_TICK
+          && session.endIfIdle(nowNanos - IDLE_SESSION_NANOS, STOPPING)) {
         closed++;
       }
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -150,9 +150,27 @@
     }
   }
 
+  /**
+   * Passes on bytes that have arrived since the event loop last looked for some. Must not be called
+   * while received bytes are being handled.
+   */
+  public void readArrived() {
+    if (closed || key == null || key.interestOps() == SelectionKey.OP_CONNECT) {
+      return;
+    }
+    try {
+      read();
+    } catch (IOException e) {
+      failed(e);
+    }
+  }
+
   private void read() throws IOException {
     ByteBuffer buffer = loop.readBuffer().clear();
     int count = socket.read(buffer);
+    if (count == 0) {
+      return;
+    }
     if (count < 0) {
       if (discarding) {
         close();
