--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/LogOutput.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/LogOutput.java
@@ -1,10 +1,10 @@
 package io.hickorydrift.proxy.cli;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -20,8 +20,7 @@
   private static final long MAX_DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final OutputStream target;
-  private final ArrayDeque<byte[]> buffered = new ArrayDeque<>();
-  private int bufferedBytes;
+  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private long droppedBytes;
   private boolean writing;
 
@@ -46,22 +45,16 @@
 
   @Override
   public synchronized void write(byte[] bytes, int offset, int length) {
-    if (bufferedBytes + length > MAX_BUFFERED_BYTES) {
+    if (buffered.size() + length > MAX_BUFFERED_BYTES) {
       droppedBytes += length;
       return;
     }
     if (droppedBytes > 0) {
-      add(("event=log_dropped bytes=" + droppedBytes + "\n").getBytes(StandardCharsets.UTF_8));
+      String line = "event=log_dropped bytes=" + droppedBytes + "\n";
+      buffered.writeBytes(line.getBytes(StandardCharsets.UTF_8));
       droppedBytes = 0;
     }
-    byte[] copy = new byte[length];
-    System.arraycopy(bytes, offset, copy, 0, length);
-    add(copy);
-  }
-
-  private void add(byte[] bytes) {
-    buffered.add(bytes);
-    bufferedBytes += bytes.length;
+    buffered.write(bytes, offset, length);
     notifyAll();
   }
 
@@ -69,7 +62,7 @@
   synchronized void drain() {
     long endNanos = System.nanoTime() + MAX_DRAIN_NANOS;
     try {
-      while (writing || !buffered.isEmpty()) {
+      while (writing || buffered.size() > 0) {
         long leftNanos = endNanos - System.nanoTime();
         if (leftNanos <= 0) {
           return;
@@ -99,7 +92,7 @@
   private synchronized byte[] awaitNext() {
     writing = false;
     notifyAll();
-    while (buffered.isEmpty()) {
+    while (buffered.size() == 0) {
       try {
         wait();
       } catch (InterruptedException e) {
@@ -107,8 +100,8 @@
       }
     }
     writing = true;
-    byte[] next = buffered.poll();
-    bufferedBytes -= next.length;
+    byte[] next = buffered.toByteArray();
+    buffered.reset();
     return next;
   }
 }
