Pause between calls that the store answers at once

A loss repeated within a second and an answer without a change before the end of the wait now wait 250 ms, the pause after a failed call.

Ruled out: failures (they already waited 250 ms).

A store that stays behind the revision of this instance is still not followed; that belongs to the issue on a store restored from an older copy.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -34,6 +35,7 @@
   // While the store is unreachable, short watches detect its recovery early.
   private static final long UNREACHABLE_WATCH_WAIT_MS = 1;
   private static final long RETRY_MS = 250;
+  private static final long REPEATED_LOSS_MS = 1_000;
   // A relay finds the recovery of the store and passes it on; the others seldom need to.
   private static final long NON_CANDIDATE_RETRY_MS = 2_000;
   // Time for the other instances of a fleet that starts to register themselves.
@@ -61,6 +63,8 @@
   private long watchStartedNanos;
   private long watchWaitMs;
   private long behindSinceNanos;
+  private long historyLostNanos;
+  private boolean historyLost;
   private boolean reachable;
   private Status lastFailure;
 
@@ -332,7 +336,7 @@
       applyChanges(result, requestNanos);
     } else if (result.status() == Status.HISTORY_LOST) {
       Logger.info("event=history_lost revision={}", revision);
-      load();
+      onHistoryLost();
     } else {
       onFailure(result.status(), this::watch);
     }
@@ -349,22 +353,50 @@
     declarations.confirmCurrentAt(requestNanos);
     long before = revision;
     revision = Math.max(revision, result.revision());
-    if (revision == before) {
+    if (revision > before) {
+      relay.onChanges(before, revision, contents.failureAgeMs(), entries);
+      watchAfterPause(CHANGE_PAUSE_MS);
+    } else if (elapsedMs(watchStartedNanos) < watchWaitMs) {
+      // An answer without a change before the end of the wait would be repeated at once.
+      watchAfterPause(RETRY_MS);
+    } else {
       watch();
-      return;
     }
-    relay.onChanges(before, revision, contents.failureAgeMs(), entries);
+  }
+
+  private void watchAfterPause(long pauseMs) {
     paused = true;
+    afterPause(pauseMs, this::watch);
+  }
+
+  /** Runs {@code action} after a pause, unless another call has begun or the watch has ended. */
+  private void afterPause(long pauseMs, Runnable action) {
     long number = watchNumber;
     loop.after(
-        CHANGE_PAUSE_MS,
+        pauseMs,
         () -> {
           if (number == watchNumber && watching) {
-            watch();
+            action.run();
           }
         });
   }
 
+  /** Reads a new snapshot; repeated losses wait, since the store would be called without pause. */
+  private void onHistoryLost() {
+    boolean repeated = historyLost && elapsedMs(historyLostNanos) < REPEATED_LOSS_MS;
+    historyLost = true;
+    historyLostNanos = loop.nowNanos();
+    if (repeated) {
+      afterPause(RETRY_MS, this::load);
+    } else {
+      load();
+    }
+  }
+
+  private long elapsedMs(long sinceNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - sinceNanos);
+  }
+
   private void markReachable() {
     if (!reachable) {
       reachable = true;
@@ -381,13 +413,7 @@
     lastFailure = status;
     contents.recordFailure(0);
     store.closeIdleConnections();
-    long number = watchNumber;
-    loop.after(
-        fleet.relayCandidates().contains(self) || !loaded ? RETRY_MS : NON_CANDIDATE_RETRY_MS,
-        () -> {
-          if (watching && number == watchNumber) {
-            retry.run();
-          }
-        });
+    boolean retrySoon = fleet.relayCandidates().contains(self) || !loaded;
+    afterPause(retrySoon ? RETRY_MS : NON_CANDIDATE_RETRY_MS, retry);
   }
 }
