Read HTTP answers that end with the connection or follow an interim one

Cause: the end of the connection always counted as a failed call, also where it ends a body without a length, and an interim answer (status 1xx) counted as the answer, so that the final one was left for the next call. A connection whose answer announces its close was reused for the next call until the close arrived.

Ruled out: chunked bodies, closes after a complete answer and surplus bytes after an answer: these rows were green before too. Connections with surplus bytes or an announced close are no longer reused.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 
@@ -21,6 +22,7 @@
  */
 public final class HttpClient {
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final int FIRST_FINAL_STATUS = 200;
 
   private final EventLoop loop;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -65,6 +67,8 @@
     private EventLoop.Timer timer;
     private int status;
     private byte[] body = new byte[0];
+    private boolean closing;
+    private boolean messageDone;
 
     private void start(HttpRequest request, long timeoutMs, Consumer<HttpResult> onResult) {
       pendingCallback = onResult;
@@ -100,18 +104,46 @@
         idle.remove(this);
         return;
       }
-      while (in.hasRemaining() && pendingCallback != null && !parser.isClose()) {
+      while (in.hasRemaining() && pendingCallback != null && !channel.isClosed()) {
         int before = in.remaining();
         parser.parseNext(in);
-        if (in.remaining() == before && pendingCallback != null && !parser.isComplete()) {
+        if (messageDone) {
+          finishMessage(in.hasRemaining());
+        } else if (in.remaining() == before) {
           break;
         }
       }
     }
 
+    /**
+     * Ends the call, unless the response is an interim one. A connection with {@code surplus} bytes
+     * after the response is not reused: they would count as the response to the next call.
+     */
+    private void finishMessage(boolean surplus) {
+      messageDone = false;
+      parser.reset();
+      if (status < FIRST_FINAL_STATUS) {
+        return;
+      }
+      if (closing || surplus) {
+        channel.close();
+      } else if (!channel.isClosed()) {
+        idle.addLast(this);
+      }
+      complete(new HttpResult(status, body));
+    }
+
     @Override
     public void closed(String reason) {
       idle.remove(this);
+      if (pendingCallback != null) {
+        // A response without a length ends with the connection.
+        parser.atEOF();
+        parser.parseNext(ByteBuffer.allocate(0));
+        if (messageDone) {
+          finishMessage(false);
+        }
+      }
       fail(reason);
     }
 
@@ -135,10 +167,13 @@
     public void startResponse(HttpVersion version, int code, String reason) {
       status = code;
       body = new byte[0];
+      closing = version == HttpVersion.HTTP_1_0;
     }
 
     @Override
-    public void parsedHeader(HttpField field) {}
+    public void parsedHeader(HttpField field) {
+      closing |= field.getHeader() == HttpHeader.CONNECTION && field.contains("close");
+    }
 
     @Override
     public boolean headerComplete() {
@@ -164,12 +199,7 @@
 
     @Override
     public boolean messageComplete() {
-      HttpResult result = new HttpResult(status, body);
-      parser.reset();
-      if (!channel.isClosed()) {
-        idle.addLast(this);
-      }
-      complete(result);
+      messageDone = true;
       return true;
     }
 
