--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 
@@ -26,6 +27,7 @@
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final int MAX_HEADERS = 64;
   private static final int MAX_HEADER_CHARS = 1_024;
+  private static final int FIRST_FINAL_STATUS = 200;
 
   private final EventLoop loop;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -71,6 +73,8 @@
     private final Map<String, String> headers = new HashMap<>();
     private int status;
     private byte[] body = new byte[0];
+    private boolean closing;
+    private boolean messageDone;
 
     private void start(HttpRequest request, long timeoutMs, Consumer<HttpResult> onResult) {
       pendingCallback = onResult;
@@ -106,18 +110,46 @@
         idle.remove(this);
         return;
       }
-      while (in.hasRemaining() && pendingCallback != null && !parser.isClose()) {
+      while (in.hasRemaining() && pendingCallback != null && !channel.isClosed()) {
         int before = in.remaining();
         parser.parseNext(in);
-        if (in.remaining() == before && pendingCallback != null && !parser.isComplete()) {
+        if (messageDone) {
+          finishMessage(in.hasRemaining());
+        } else if (in.remaining() == before) {
           break;
         }
       }
     }
 
+    /**
+     * Ends the call, unless the response is an interim one. A connection with {@code surplus} bytes
+     * after the response is not reused: they would count as the response to the next call.
+     */
+    private void finishMessage(boolean surplus) {
+      messageDone = false;
+      parser.reset();
+      if (status < FIRST_FINAL_STATUS) {
+        return;
+      }
+      if (closing || surplus) {
+        channel.close();
+      } else if (!channel.isClosed()) {
+        idle.addLast(this);
+      }
+      complete(new HttpResult(status, body, Map.copyOf(headers)));
+    }
+
     @Override
     public void closed(String reason) {
       idle.remove(this);
+      if (pendingCallback != null) {
+        // A response without a length ends with the connection.
+        parser.atEOF();
+        parser.parseNext(ByteBuffer.allocate(0));
+        if (messageDone) {
+          finishMessage(false);
+        }
+      }
       fail(reason);
     }
 
@@ -142,10 +174,12 @@
       status = code;
       body = new byte[0];
       headers.clear();
+      closing = version == HttpVersion.HTTP_1_0;
     }
 
     @Override
     public void parsedHeader(HttpField field) {
+      closing |= field.getHeader() == HttpHeader.CONNECTION && field.contains("close");
       String name = field.getName().toLowerCase(Locale.ROOT);
       String former = headers.get(name);
       if (former == null && headers.size() == MAX_HEADERS) {
@@ -184,12 +218,7 @@
 
     @Override
     public boolean messageComplete() {
-      HttpResult result = new HttpResult(status, body, Map.copyOf(headers));
-      parser.reset();
-      if (!channel.isClosed()) {
-        idle.addLast(this);
-      }
-      complete(result);
+      messageDone = true;
       return true;
     }
 
