--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -22,6 +22,8 @@
   private static final Pattern DECIMAL_NUMBER = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,6})?");
   private static final Pattern ACKNOWLEDGED_BY = Pattern.compile("primary|replica");
   private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
+  // Ports, peers and a few sessions.
+  private static final long MIN_DESCRIPTORS = 64;
   // Proofs that keys are current arrive about once a second.
   private static final long MIN_KEY_VALIDITY_MS = 1_500;
   // A stop without any grace would abort all requests in flight.
@@ -71,7 +73,7 @@
 
   private long descriptors() {
     return sections.getOrDefault("capacity", Map.of()).containsKey("descriptors")
-        ? wholeNumber("capacity", "descriptors")
+        ? wholeNumber("capacity", "descriptors", MIN_DESCRIPTORS)
         : GatewaySettings.UNLIMITED;
   }
 
