Refuse sessions in the second half of a stop, so that its end aborts no statement

A connection accepted in the 100 ms between the last session's end and the exit could also be opened and cut. Cause: new sessions were opened until the process ended, so that statements were always under way at its end. Now sessions are refused in the second half of the grace period and once all have ended; the callers' statements before that are answered, and their sessions closed after it, well before the forced close.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -42,6 +42,7 @@
   private int queuedBytes;
   // Whether requests may wait in the connection.
   private boolean backlogged;
+  private String openingRefusal;
   private String database;
   private String credential;
   private SessionState state = SessionState.IDLE;
@@ -134,7 +135,16 @@
     }
   }
 
+  /** Refuses the session when the caller asks to open it. */
+  void refuseOpening(String reason) {
+    openingRefusal = reason;
+  }
+
   private void openSession(CallerMessage.Open open) {
+    if (openingRefusal != null) {
+      refuseAndClose(FailureCode.BUSY, openingRefusal);
+      return;
+    }
     if (database != null || open.database().isEmpty()) {
       refuseAndClose(FailureCode.MALFORMED, "session already open or database missing");
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -39,6 +39,8 @@
   // Time for the call that removes the fleet entry; the entry expires if it is lost.
   private static final long LEAVE_MS = 100;
   private static final String STOPPING = "instance is stopping";
+  // Another instance takes the session as soon as the balancer chooses one.
+  private static final long STOPPING_RETRY_MS = 20;
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
@@ -213,10 +215,25 @@
       return new RefusedConnection();
     }
     CallerSession session = new CallerSession(context, channel, sessions::remove);
+    if (refusesSessions()) {
+      session.refuseOpening(STOPPING + "; retry in " + STOPPING_RETRY_MS + " ms");
+    }
     sessions.add(session);
     return session;
   }
 
+  /**
+   * Returns whether sessions are refused: in the second half of a stop, so that none of their
+   * statements is running at its end, and once all sessions have ended.
+   */
+  private boolean refusesSessions() {
+    return stopped || stopping && isPastHalfOfStop(loop.nowNanos());
+  }
+
+  private boolean isPastHalfOfStop(long nowNanos) {
+    return (nowNanos - stoppingNanos) / NANOS_PER_MS > stopGraceMs / 2;
+  }
+
   private void refuse(TcpChannel channel) {
     refusedChannels.removeIf(TcpChannel::isClosed);
     if (refusedChannels.size() >= MAX_REFUSED_CHANNELS) {
@@ -289,7 +306,7 @@
     if (stoppingMs < BALANCER_REMOVAL_MS) {
       return;
     }
-    boolean pastHalf = stoppingMs > stopGraceMs / 2;
+    boolean pastHalf = isPastHalfOfStop(nowNanos);
     boolean nearEnd = stoppingMs > stopGraceMs - FORCED_CLOSE_BEFORE_END_MS;
     int closed = 0;
     for (CallerSession session : List.copyOf(sessions)) {
