Use a target again that was announced as leaving and stays

Cause: the pool of a target whose entry said that it is leaving stayed closed for good, also when a later entry of the same process said that it is ready. All work for it was refused until the process restarted.

The pool now opens again with the entry.

Ruled out: the promotion that the leaving primary caused (the entry names it as primary again; the pool refused).

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -375,6 +375,11 @@
     }
   }
 
+  /** Accepts requests again after {@link #drain}. */
+  void resume() {
+    draining = false;
+  }
+
   /** Closes all connections. */
   void close() {
     drain();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -62,10 +62,12 @@
     }
   }
 
-  /** Drains the pool of a target that is leaving. */
+  /** Drains the pool of a target that is leaving, and ends that if the target stays after all. */
   private static void drainIfLeaving(TargetPool pool) {
     if (pool.target().entry().draining()) {
       pool.drain();
+    } else {
+      pool.resume();
     }
   }
 
