--- a/core/src/main/java/io/hickorydrift/core/directory/Directory.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/Directory.java
@@ -1,8 +1,10 @@
 package io.hickorydrift.core.directory;
 
+import io.hickorydrift.core.store.StorePosition;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -10,11 +12,16 @@
 /**
  * All registered targets, by group.
  *
- * <p>Invariant: a target is in exactly one group. Thread safety: confined to one thread.
+ * <p>Invariant: a target is in exactly one group; an entry of a new era of the store does not
+ * replace one that its target wrote later, and does not bring back a target that has left. Thread
+ * safety: confined to one thread.
  */
 public final class Directory {
+  private static final int MAX_DEPARTED = 1_000;
+
   private final Map<String, GroupState> groups = new HashMap<>();
   private final Map<String, String> groupByTargetId = new HashMap<>();
+  private final Map<String, TargetState> departed = new LinkedHashMap<>();
   private final Consumer<TargetState> onRemoved;
 
   /**
@@ -44,32 +51,67 @@
   }
 
   /**
-   * Adds or updates an entry as of store revision {@code revision}. A target that restarted or
-   * moved to another group or address is replaced.
+   * Adds or updates an entry as of {@code position} of the store. A target that restarted or moved
+   * to another group or address is replaced.
+   *
+   * @return false if the entry was ignored since a later one of the target is known from an earlier
+   *     era of the store
    */
-  public void put(TargetEntry entry, long revision) {
+  public boolean put(TargetEntry entry, StorePosition position) {
     String previousGroup = groupByTargetId.get(entry.id());
     TargetState known =
         previousGroup == null ? null : group(previousGroup).targetsById().get(entry.id());
+    if (isOutdated(entry, position, known)) {
+      return false;
+    }
     boolean sameProcess =
         known != null
             && previousGroup.equals(entry.group())
             && known.entry().startedAtMs() == entry.startedAtMs()
             && known.entry().address().equals(entry.address());
     if (sameProcess) {
-      known.update(entry, revision);
-      return;
+      known.update(entry, position);
+      return true;
     }
-    remove(entry.id());
+    forget(entry.id());
+    departed.remove(entry.id());
     groupByTargetId.put(entry.id(), entry.group());
-    group(entry.group()).targetsById().put(entry.id(), new TargetState(entry, revision));
+    group(entry.group()).targetsById().put(entry.id(), new TargetState(entry, position));
+    return true;
+  }
+
+  private boolean isOutdated(TargetEntry entry, StorePosition position, TargetState known) {
+    TargetState gone = departed.get(entry.id());
+    if (known != null) {
+      return position.era() > known.position().era() && entry.isOlderThan(known.entry());
+    }
+    return gone != null
+        && position.era() > gone.position().era()
+        && !gone.entry().isOlderThan(entry);
   }
 
-  /** Removes the target {@code id}, if it is registered. */
+  /** Removes the target {@code id}, which has left, if it is registered. */
   public void remove(String id) {
+    TargetState removed = forget(id);
+    if (removed != null) {
+      departed.put(id, removed);
+      if (departed.size() > MAX_DEPARTED) {
+        departed.remove(departed.keySet().iterator().next());
+      }
+    }
+  }
+
+  /**
+   * Removes the target {@code id}, if it is registered, without taking it for one that has left:
+   * any later entry brings it back.
+   */
+  public TargetState forget(String id) {
     String group = groupByTargetId.remove(id);
-    if (group != null) {
-      onRemoved.accept(group(group).targetsById().remove(id));
+    if (group == null) {
+      return null;
     }
+    TargetState removed = group(group).targetsById().remove(id);
+    onRemoved.accept(removed);
+    return removed;
   }
 }
--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -64,7 +64,7 @@
     TargetState latest = null;
     for (TargetState target : targets.values()) {
       if (target.entry().primary()
-          && (latest == null || target.primarySinceRevision() > latest.primarySinceRevision())) {
+          && (latest == null || target.primarySince().isAfter(latest.primarySince()))) {
         latest = target;
       }
     }
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
@@ -14,6 +14,7 @@
  * @param primary whether it reports itself as the primary of its group
  * @param startedAtMs time of its start, in milliseconds since 1970; distinguishes restarts under
  *     one id
+ * @param sequence number of the entry, which rises with each write of the target since its start
  */
 public record TargetEntry(
     String id,
@@ -23,4 +24,21 @@
     int slots,
     boolean draining,
     boolean primary,
-    long startedAtMs) {}
+    long startedAtMs,
+    long sequence) {
+  /** Returns whether the target wrote this entry before {@code other}. */
+  public boolean isOlderThan(TargetEntry other) {
+    return startedAtMs < other.startedAtMs
+        || startedAtMs == other.startedAtMs && sequence < other.sequence;
+  }
+
+  /** Returns whether this entry says the same as {@code other}. */
+  public boolean differsOnlyInSequence(TargetEntry other) {
+    return equals(other.withSequence(sequence));
+  }
+
+  private TargetEntry withSequence(long newSequence) {
+    return new TargetEntry(
+        id, group, address, failureDomain, slots, draining, primary, startedAtMs, newSequence);
+  }
+}
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.store.StorePosition;
 
 /**
  * State of a target at this instance: its entry and the log positions and load derived from its
@@ -13,7 +14,8 @@
   private static final double SMOOTHING_FACTOR = 0.2;
 
   private TargetEntry entry;
-  private long primarySinceRevision;
+  private StorePosition position;
+  private StorePosition primarySince;
   private Position applied;
   private Position received;
   private long avoidUntilNanos = Long.MIN_VALUE;
@@ -21,20 +23,22 @@
   private int outstanding;
   private double averageAnswerNanos;
 
-  TargetState(TargetEntry entry, long revision) {
+  TargetState(TargetEntry entry, StorePosition position) {
     this.entry = entry;
-    primarySinceRevision = entry.primary() ? revision : 0;
+    this.position = position;
+    primarySince = entry.primary() ? position : StorePosition.NONE;
   }
 
-  void update(TargetEntry newer, long revision) {
+  void update(TargetEntry newer, StorePosition newPosition) {
     if (newer.primary() && !entry.primary()) {
-      primarySinceRevision = revision;
+      primarySince = newPosition;
     }
+    position = newPosition;
     if (newer.startedAtMs() != entry.startedAtMs()) {
       applied = null;
       received = null;
     }
-    ruledOut &= newer.equals(entry);
+    ruledOut &= newer.differsOnlyInSequence(entry);
     entry = newer;
   }
 
@@ -43,9 +47,14 @@
     return entry;
   }
 
-  /** Returns the store's revision at which the target last became primary. */
-  long primarySinceRevision() {
-    return primarySinceRevision;
+  /** Returns the position of the store at which the entry was last written. */
+  StorePosition position() {
+    return position;
+  }
+
+  /** Returns the position of the store at which the target last became primary. */
+  StorePosition primarySince() {
+    return primarySince;
   }
 
   /** Returns the applied position in the last answer that reported one, or null. */
--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/store/package-info.java
@@ -0,0 +1,2 @@
+/** Positions in the history of the platform's store. */
+package io.hickorydrift.core.store;
--- a/core/src/test/java/io/hickorydrift/core/commit/AcknowledgementTest.java
+++ b/core/src/test/java/io/hickorydrift/core/commit/AcknowledgementTest.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.store.StorePosition;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,8 +23,8 @@
 
   @BeforeEach
   void addTargets() {
-    directory.put(entry("p", true, 1), 1);
-    directory.put(entry("r", false, 1), 2);
+    directory.put(entry("p", true, 1), new StorePosition(0, 1));
+    directory.put(entry("r", false, 1), new StorePosition(0, 2));
     group = directory.group("g");
     for (TargetState target : group.targets()) {
       if (target.entry().primary()) {
@@ -35,7 +36,7 @@
   }
 
   private static TargetEntry entry(String id, boolean primary, long startedAtMs) {
-    return new TargetEntry(id, "g", "127.0.0.1:1", "d", 3, false, primary, startedAtMs);
+    return new TargetEntry(id, "g", "127.0.0.1:1", "d", 3, false, primary, startedAtMs, 1);
   }
 
   @Test
@@ -65,7 +66,7 @@
   @Test
   void restartedReplicaLosesItsReceivedPosition() {
     replica.recordReceived(COMMIT);
-    directory.put(entry("r", false, 2), 3);
+    directory.put(entry("r", false, 2), new StorePosition(0, 3));
     assertThat(Acknowledgement.REPLICA.policy().isSatisfied(group, COMMIT)).isFalse();
   }
 }
--- a/core/src/test/java/io/hickorydrift/core/promotion/PositionSurveyTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/PositionSurveyTest.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.store.StorePosition;
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -19,7 +20,9 @@
   private static List<TargetState> targets(int count) {
     Directory directory = new Directory(target -> {});
     for (int i = 0; i < count; i++) {
-      directory.put(new TargetEntry("t" + i, "g", "a:1", "z", 3, false, false, 1), 1);
+      directory.put(
+          new TargetEntry("t" + i, "g", "a:1", "z", 3, false, false, 1, 1),
+          new StorePosition(0, 1));
     }
     return new ArrayList<>(directory.group("g").targets());
   }
--- a/core/src/test/java/io/hickorydrift/core/promotion/PrimaryFailureDetectorTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/PrimaryFailureDetectorTest.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.store.StorePosition;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,8 +18,11 @@
     Directory directory = new Directory(target -> {});
     boolean primary = !state.equals("none");
     directory.put(
-        new TargetEntry("t0", "g", "127.0.0.1:1", "a", 3, state.equals("draining"), primary, 1), 5);
-    directory.put(new TargetEntry("t1", "g", "127.0.0.1:2", "b", 3, false, false, 1), 6);
+        new TargetEntry("t0", "g", "127.0.0.1:1", "a", 3, state.equals("draining"), primary, 1, 1),
+        new StorePosition(0, 5));
+    directory.put(
+        new TargetEntry("t1", "g", "127.0.0.1:2", "b", 3, false, false, 1, 1),
+        new StorePosition(0, 6));
     return directory.group("g");
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -25,6 +25,10 @@
   private long confirmedNanos;
   private boolean confirmed;
   private boolean unreadable;
+  private boolean restored;
+  private boolean olderShownLogged;
+  private long shownVersion;
+  private long newestKnownVersion;
 
   /**
    * Creates an instance without a declaration.
@@ -70,6 +74,7 @@
         declaration.organisations().size());
     logChangedLimits(declaration);
     current = declaration;
+    onKnownVersion(declaration.version());
     storedByVersion.put(declaration.version(), value);
     if (storedByVersion.size() > KEPT_VERSIONS) {
       storedByVersion.remove(storedByVersion.keySet().iterator().next());
@@ -104,6 +109,47 @@
     return unreadable;
   }
 
+  /** Records that a peer or the store holds a declaration of {@code version}. */
+  void onKnownVersion(long version) {
+    newestKnownVersion = Math.max(newestKnownVersion, version);
+  }
+
+  /** Records the version that the store holds. */
+  void onStoreVersion(long version) {
+    shownVersion = version;
+    onKnownVersion(version);
+    if (restored && shownVersion >= newestKnownVersion) {
+      unreadable = false;
+    }
+  }
+
+  /** Handles that the store was restored from an older copy. */
+  void onNewEra() {
+    restored = true;
+    olderShownLogged = false;
+    shownVersion = Declaration.NONE.version() - 1;
+  }
+
+  /** Returns whether the version that the store holds since its last restore is not known yet. */
+  boolean needsStoreVersion() {
+    return restored && shownVersion < Declaration.NONE.version();
+  }
+
+  /**
+   * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
+   * in force. Since a restore, that proves nothing as long as the store holds an older one than the
+   * newest known: what the operator wrote since the copy is still missing there.
+   */
+  void confirmByStoreAt(long requestNanos) {
+    if (!restored || shownVersion >= newestKnownVersion) {
+      confirmCurrentAt(requestNanos);
+    } else if (!olderShownLogged) {
+      olderShownLogged = true;
+      Logger.warn(
+          "event=declaration_older_in_store version={} known={}", shownVersion, newestKnownVersion);
+    }
+  }
+
   /**
    * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
    * in force.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.placement.HomePlan;
 import io.hickorydrift.core.relay.RelayRanking;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -44,7 +45,7 @@
   private long lease;
   private long registration;
   private boolean registered;
-  private long ownEntryRevision;
+  private StorePosition ownEntryPosition = StorePosition.NONE;
   private long retryMs = RETRY_MS;
   private List<String> relayCandidates = List.of();
   private long rankedChangeCount = -1;
@@ -124,9 +125,27 @@
     return Math.max(1, members.size());
   }
 
-  void apply(Item item) {
-    String name = item.key().substring(KEY_PREFIX.length());
-    if (name.equals(instance) && item.revision() < ownEntryRevision) {
+  /** Returns the id of the member whose entry has {@code key}. */
+  String memberId(String key) {
+    return key.substring(KEY_PREFIX.length());
+  }
+
+  /** Returns the keys of the entries of all members. */
+  List<String> keys() {
+    return members.keySet().stream().map(name -> KEY_PREFIX + name).toList();
+  }
+
+  /** Removes the member whose entry has {@code key}. */
+  void remove(String key) {
+    if (members.remove(memberId(key)) != null) {
+      changeCount++;
+      Logger.info("event=fleet_changed size={} instance={}", members.size(), memberId(key));
+    }
+  }
+
+  void apply(Item item, StorePosition position) {
+    String name = memberId(item.key());
+    if (name.equals(instance) && ownEntryPosition.isAfter(position)) {
       // An event about the entry of an earlier run, or of a lease that has been replaced.
       return;
     }
@@ -218,7 +237,7 @@
         entryWrite(),
         result -> {
           if (result.status() == Status.OK) {
-            ownEntryRevision = result.value();
+            ownEntryPosition = new StorePosition(result.era(), result.value());
           } else if (result.status() != Status.NOT_FOUND) {
             loop.after(nextRetryMs(), () -> rewriteEntry(number));
           }
@@ -266,7 +285,7 @@
     if (result.status() == Status.OK) {
       registered = true;
       retryMs = RETRY_MS;
-      ownEntryRevision = result.value();
+      ownEntryPosition = new StorePosition(result.era(), result.value());
       loop.after(LEASE_RENEWAL_MS, () -> renewLease(number));
     } else if (result.status() == Status.NOT_FOUND) {
       loop.after(nextRetryMs(), () -> rejoin(number));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -60,6 +60,7 @@
   private final PromotionClient promotionClient;
   private final CommitConfirmations confirmations;
   private final Metrics metrics = new Metrics();
+  private final StoreEra era = new StoreEra();
   private final GatewayContext context;
   private Runnable onStopped = () -> {};
   private final List<TcpListener> listeners = new ArrayList<>();
@@ -74,7 +75,9 @@
     this.settings = settings;
     this.platform = platform;
     declarations = new Declarations(loop, settings.keyValidityMs() - KEY_VALIDITY_MARGIN_MS);
-    store = new CountingStore(platform.store(loop, settings.storeAddress()), metrics);
+    store =
+        new EraCheckedStore(
+            new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
     homes = new HomeRouter(loop, declarations, fleet, settings.id());
@@ -93,7 +96,8 @@
             directory,
             pools,
             prober,
-            homes);
+            homes,
+            era);
     homes.start(peers);
     limits = new OrganisationRateLimiter(loop, declarations, fleet, peers, homes, settings.id());
     promotions =
@@ -108,9 +112,11 @@
             peers,
             homes,
             settings.id());
-    StoreContents contents = new StoreContents(loop, platform, declarations, directory, fleet);
+    StoreContents contents =
+        new StoreContents(loop, platform, declarations, directory, fleet, peers::isUp);
     relay = new RelayService(exchange, declarations, contents::items);
-    sync = new StoreSync(loop, store, contents, declarations, fleet, peers, relay, settings.id());
+    sync =
+        new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
     confirmations = new CommitConfirmations(loop, pools, settings.acknowledgement().policy());
     context =
         new GatewayContext(
@@ -165,6 +171,7 @@
   }
 
   private void registerGauges() {
+    metrics.registerGauge("store_era", "Newest era of the store that is known", era::current);
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -63,6 +63,7 @@
   private final String self;
   private final String peer;
   private final String address;
+  private final StoreEra era;
   private final Listener listener;
   private final Map<Long, Long> pingSentNanos = new HashMap<>();
   private final Map<Long, ForwardListener> pendingForwards = new HashMap<>();
@@ -88,12 +89,14 @@
       String self,
       String peer,
       String address,
+      StoreEra era,
       Listener listener) {
     this.traffic = traffic;
     this.loop = loop;
     this.self = self;
     this.peer = peer;
     this.address = address;
+    this.era = era;
     this.listener = listener;
     statusNeededSinceNanos = loop.nowNanos();
     connect();
@@ -273,7 +276,7 @@
 
   private void sendPing() {
     pingSentNanos.put(++lastSequence, loop.nowNanos());
-    send(new PeerMessage.Ping(self, lastSequence, needsStatus));
+    send(new PeerMessage.Ping(self, lastSequence, needsStatus, era.current()));
   }
 
   void close() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import java.util.List;
 import java.util.Map;
@@ -23,8 +24,10 @@
    * @param instance id of the sender
    * @param sequence sequence number, echoed in the pong
    * @param needsStatus whether the sender uses the status of the groups' primaries
+   * @param era newest era of the store that the sender knows of
    */
-  record Ping(String instance, long sequence, boolean needsStatus) implements PeerMessage {}
+  record Ping(String instance, long sequence, boolean needsStatus, long era)
+      implements PeerMessage {}
 
   /**
    * Response to a ping. Ages are as of the time of sending, so that the receiver may count them
@@ -33,7 +36,7 @@
    * @param sequence sequence number of the ping
    * @param version version of the declaration in force
    * @param proofAgeMs age of the last proof that this version is the newest; -1 without one
-   * @param revision newest revision of the store that the sender has applied
+   * @param position newest position of the store that the sender has applied
    * @param watching whether the sender watches the store itself
    * @param groups status of each group's primary; empty if the ping did not ask for it
    * @param unreachableTargets ids of the targets that the sender cannot reach
@@ -42,7 +45,7 @@
       long sequence,
       long version,
       long proofAgeMs,
-      long revision,
+      StorePosition position,
       boolean watching,
       List<PrimaryStatus> groups,
       List<String> unreachableTargets)
@@ -114,25 +117,24 @@
   /**
    * Asks a relay for all changes in the store from now on.
    *
-   * @param revision revision of the store that the sender has applied; 0 if none
+   * @param position position of the store that the sender has applied
    * @param version version of the declaration that the sender has
    */
-  record Subscribe(long revision, long version) implements PeerMessage {}
+  record Subscribe(StorePosition position, long version) implements PeerMessage {}
 
   /**
    * Changes in the store, sent to a subscriber. The declaration is sent on its own, before them.
    *
-   * @param snapshot whether {@code items} are all items, rather than the changes since {@code
-   *     fromRevision}
-   * @param fromRevision revision that the receiver must have applied
-   * @param revision revision of the store with these changes
+   * @param snapshot whether {@code items} are all items, rather than the changes since {@code from}
+   * @param from position that the receiver must have applied
+   * @param position position of the store with these changes
    * @param failureAgeMs time since the store was last unreachable for the sender
    * @param items the items
    */
   record StoreChanges(
       boolean snapshot,
-      long fromRevision,
-      long revision,
+      StorePosition from,
+      StorePosition position,
       long failureAgeMs,
       List<KeyValueStore.Item> items)
       implements PeerMessage {}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.OutBuffer;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
 import java.io.IOException;
@@ -55,10 +56,12 @@
   private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
     if (message instanceof PeerMessage.Ping ping) {
       packer.packInt(PING).packString(ping.instance()).packLong(ping.sequence());
-      packer.packBoolean(ping.needsStatus());
+      packer.packBoolean(ping.needsStatus()).packLong(ping.era());
     } else if (message instanceof PeerMessage.Pong pong) {
       packer.packInt(PONG).packLong(pong.sequence()).packLong(pong.version());
-      packer.packLong(pong.proofAgeMs()).packLong(pong.revision()).packBoolean(pong.watching());
+      packer.packLong(pong.proofAgeMs());
+      packStorePosition(packer, pong.position());
+      packer.packBoolean(pong.watching());
       packer.packArrayHeader(pong.groups().size());
       for (PeerMessage.PrimaryStatus group : pong.groups()) {
         packPrimaryStatus(packer, group);
@@ -99,7 +102,9 @@
       packer.packInt(DECLARATION_CHANGE).packLong(change.baseVersion());
       packer.packBinaryHeader(change.delta().length).writePayload(change.delta());
     } else if (message instanceof PeerMessage.Subscribe subscribe) {
-      packer.packInt(SUBSCRIBE).packLong(subscribe.revision()).packLong(subscribe.version());
+      packer.packInt(SUBSCRIBE);
+      packStorePosition(packer, subscribe.position());
+      packer.packLong(subscribe.version());
     } else if (message instanceof PeerMessage.StoreChanges changes) {
       packStoreChanges(packer, changes);
     }
@@ -108,7 +113,8 @@
   private static void packStoreChanges(MessageBufferPacker packer, PeerMessage.StoreChanges changes)
       throws IOException {
     packer.packInt(STORE_CHANGES).packBoolean(changes.snapshot());
-    packer.packLong(changes.fromRevision()).packLong(changes.revision());
+    packStorePosition(packer, changes.from());
+    packStorePosition(packer, changes.position());
     packer.packLong(changes.failureAgeMs()).packArrayHeader(changes.items().size());
     for (Item item : changes.items()) {
       packer.packString(item.key()).packLong(item.revision());
@@ -119,6 +125,15 @@
     }
   }
 
+  private static void packStorePosition(MessageBufferPacker packer, StorePosition position)
+      throws IOException {
+    packer.packLong(position.era()).packLong(position.revision());
+  }
+
+  private static StorePosition unpackStorePosition(MessageUnpacker unpacker) throws IOException {
+    return new StorePosition(unpacker.unpackLong(), unpacker.unpackLong());
+  }
+
   private static void packPrimaryStatus(
       MessageBufferPacker packer, PeerMessage.PrimaryStatus status) throws IOException {
     packer.packString(status.group()).packBoolean(status.position() != null);
@@ -159,7 +174,10 @@
     switch (type) {
       case PING:
         return new PeerMessage.Ping(
-            unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+            unpacker.unpackString(),
+            unpacker.unpackLong(),
+            unpacker.unpackBoolean(),
+            unpacker.unpackLong());
       case PONG:
         return unpackPong(unpacker);
       case TOKEN_REQUEST:
@@ -184,7 +202,7 @@
       case DECLARATION_CHANGE:
         return new PeerMessage.DeclarationChange(unpacker.unpackLong(), unpackBytes(unpacker));
       case SUBSCRIBE:
-        return new PeerMessage.Subscribe(unpacker.unpackLong(), unpacker.unpackLong());
+        return new PeerMessage.Subscribe(unpackStorePosition(unpacker), unpacker.unpackLong());
       case STORE_CHANGES:
         return unpackStoreChanges(unpacker);
       default:
@@ -196,7 +214,7 @@
     final long sequence = unpacker.unpackLong();
     final long version = unpacker.unpackLong();
     final long proofAgeMs = unpacker.unpackLong();
-    final long revision = unpacker.unpackLong();
+    final StorePosition applied = unpackStorePosition(unpacker);
     final boolean watching = unpacker.unpackBoolean();
     int count = checkCount(unpacker.unpackArrayHeader(), MAX_ITEMS);
     List<PeerMessage.PrimaryStatus> groups = new ArrayList<>();
@@ -219,7 +237,7 @@
     for (int i = 0; i < unreachable; i++) {
       targets.add(unpacker.unpackString());
     }
-    return new PeerMessage.Pong(sequence, version, proofAgeMs, revision, watching, groups, targets);
+    return new PeerMessage.Pong(sequence, version, proofAgeMs, applied, watching, groups, targets);
   }
 
   private static byte[] unpackBytes(MessageUnpacker unpacker) throws IOException {
@@ -228,8 +246,8 @@
 
   private static PeerMessage unpackStoreChanges(MessageUnpacker unpacker) throws IOException {
     final boolean snapshot = unpacker.unpackBoolean();
-    final long fromRevision = unpacker.unpackLong();
-    final long revision = unpacker.unpackLong();
+    final StorePosition from = unpackStorePosition(unpacker);
+    final StorePosition position = unpackStorePosition(unpacker);
     final long failureAgeMs = unpacker.unpackLong();
     int count = checkCount(unpacker.unpackArrayHeader(), MAX_ITEMS);
     List<Item> items = new ArrayList<>();
@@ -239,7 +257,7 @@
       byte[] value = unpacker.unpackBoolean() ? unpackBytes(unpacker) : null;
       items.add(new Item(key, value, itemRevision));
     }
-    return new PeerMessage.StoreChanges(snapshot, fromRevision, revision, failureAgeMs, items);
+    return new PeerMessage.StoreChanges(snapshot, from, position, failureAgeMs, items);
   }
 
   private static PeerMessage unpackTokenRequest(MessageUnpacker unpacker) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -30,6 +30,8 @@
 final class Peers implements OutboundPeerLink.Listener {
   private static final long HEARTBEAT_INTERVAL_MS = 400;
   private static final int PROOF_PROVIDERS = 2;
+  // Time for a relay to read the store after a restore.
+  private static final long ERA_GRACE_NANOS = 900_000_000L;
   // For how long other targets are preferred to one that a peer cannot reach.
   private static final long AVOID_UNREACHABLE_NANOS = 600_000_000L;
 
@@ -44,8 +46,10 @@
   private final PrimaryProber prober;
   private final Map<String, OutboundPeerLink> outboundLinks = new HashMap<>();
   private final HomeRouter homes;
+  private final StoreEra era;
   private final Set<InboundPeerLink> inboundLinks = new LinkedHashSet<>();
   private boolean closed;
+  private long eraSinceNanos;
   private OrganisationRateLimiter limits;
   private ForwardedStatementService service;
   private StoreSync sync;
@@ -61,7 +65,8 @@
       Directory directory,
       TargetPools pools,
       PrimaryProber prober,
-      HomeRouter homes) {
+      HomeRouter homes,
+      StoreEra era) {
     this.loop = loop;
     this.traffic = traffic;
     this.self = self;
@@ -72,6 +77,8 @@
     this.pools = pools;
     this.prober = prober;
     this.homes = homes;
+    this.era = era;
+    era.addListener(source -> eraSinceNanos = loop.nowNanos());
   }
 
   void start(
@@ -123,7 +130,7 @@
     members.forEach(
         (peer, address) ->
             outboundLinks.computeIfAbsent(
-                peer, key -> new OutboundPeerLink(loop, traffic, self, peer, address, this)));
+                peer, key -> new OutboundPeerLink(loop, traffic, self, peer, address, era, this)));
     for (OutboundPeerLink link : List.copyOf(outboundLinks.values())) {
       link.heartbeat(relays.contains(link.peer()) || homes.servesWith(link.peer()));
     }
@@ -150,7 +157,10 @@
       return RelaySelection.Status.UNREACHABLE;
     }
     PeerMessage.Pong pong = link.lastPong();
-    long proofAgeMs = pong.proofAgeMs() < 0 ? -1 : pong.proofAgeMs() + link.statusAgeMs();
+    boolean outdated =
+        pong.position().era() < era.current() && loop.nowNanos() - eraSinceNanos > ERA_GRACE_NANOS;
+    long proofAgeMs =
+        pong.proofAgeMs() < 0 || outdated ? -1 : pong.proofAgeMs() + link.statusAgeMs();
     return new RelaySelection.Status(true, pong.watching(), proofAgeMs);
   }
 
@@ -213,6 +223,12 @@
     return link != null && !link.isUp();
   }
 
+  /** Returns whether there is a link to {@code peer} that is up. */
+  boolean isUp(String peer) {
+    OutboundPeerLink link = outboundLinks.get(peer);
+    return link != null && link.isUp();
+  }
+
   /** Returns the links that are up. */
   List<OutboundPeerLink> liveLinks() {
     List<OutboundPeerLink> liveLinks = new ArrayList<>();
@@ -234,6 +250,7 @@
 
   private void onRequest(InboundPeerLink inbound, PeerMessage request) {
     if (request instanceof PeerMessage.Ping ping) {
+      era.observe(ping.era(), StoreEra.Source.PEER);
       inbound.send(createPong(ping));
     } else if (request instanceof PeerMessage.Forward forward) {
       service.run(inbound, forward);
@@ -258,7 +275,7 @@
         ping.sequence(),
         declarations.current().version(),
         declarations.isUnreadable() ? -1 : declarations.proofAgeMs(),
-        sync.revision(),
+        sync.position(),
         sync.isWatching(),
         statuses,
         ping.needsStatus() ? pools.unreachableTargets() : List.of());
@@ -299,7 +316,8 @@
       }
     }
     pools.avoidUnreachable(pong.unreachableTargets(), AVOID_UNREACHABLE_NANOS);
-    sync.onPeerRevision(pong.revision());
+    sync.onPeerPosition(pong.position());
+    declarations.onKnownVersion(pong.version());
     declarationExchange.onPeerVersion(link, pong.version());
     if (pong.version() == declarations.current().version() && pong.proofAgeMs() >= 0) {
       declarations.confirmCurrentAt(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RelayService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RelayService.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,18 +14,18 @@
  * Passes changes in the store on to the instances that follow this one.
  *
  * <p>Invariant: a subscriber receives each change after the revision that it had applied, in order
- * of revision, or a snapshot in their place. Thread safety: confined to the loop's thread.
+ * of position, or a snapshot in their place. Thread safety: confined to the loop's thread.
  */
 final class RelayService {
   // Covers the changes between the loss of one relay and the subscription to the next.
   private static final int MAX_KEPT_ITEMS = 1_000;
 
   private static final class Subscriber {
-    private long revision;
+    private StorePosition position;
     private long version;
   }
 
-  private record Change(long fromRevision, long revision, List<Item> items) {}
+  private record Change(StorePosition from, List<Item> items) {}
 
   private final DeclarationExchange declarations;
   private final Declarations current;
@@ -32,7 +33,7 @@
   private final Map<InboundPeerLink, Subscriber> subscribers = new HashMap<>();
   private final ArrayDeque<Change> history = new ArrayDeque<>();
   private int keptItems;
-  private long revision;
+  private StorePosition position = StorePosition.NONE;
   private long failureAgeMs;
 
   /** Creates the service; {@code allItems} returns all items except the declaration. */
@@ -46,10 +47,10 @@
   /** Subscribes the peer of {@code link} and sends it what it has missed. */
   void subscribe(InboundPeerLink link, PeerMessage.Subscribe request) {
     Subscriber subscriber = new Subscriber();
-    subscriber.revision = request.revision();
+    subscriber.position = request.position();
     subscriber.version = request.version();
     subscribers.put(link, subscriber);
-    if (revision > 0) {
+    if (position.isAfter(StorePosition.NONE)) {
       update(link, subscriber);
     }
   }
@@ -62,15 +63,16 @@
   /**
    * Records changes that this instance has applied and sends them to all subscribers.
    *
-   * @param fromRevision revision before the changes
-   * @param newRevision revision with the changes
+   * @param from position before the changes
+   * @param newPosition position with the changes, in the same era
    * @param newFailureAgeMs time since the store was last unreachable
    * @param items changed items except the declaration
    */
-  void onChanges(long fromRevision, long newRevision, long newFailureAgeMs, List<Item> items) {
-    revision = newRevision;
+  void onChanges(
+      StorePosition from, StorePosition newPosition, long newFailureAgeMs, List<Item> items) {
+    position = newPosition;
     failureAgeMs = newFailureAgeMs;
-    history.addLast(new Change(fromRevision, newRevision, List.copyOf(items)));
+    history.addLast(new Change(from, List.copyOf(items)));
     keptItems += items.size() + 1;
     while (keptItems > MAX_KEPT_ITEMS) {
       keptItems -= history.pollFirst().items.size() + 1;
@@ -79,8 +81,8 @@
   }
 
   /** Records that a snapshot has replaced all items; earlier changes are no longer known. */
-  void onSnapshot(long newRevision, long newFailureAgeMs) {
-    revision = newRevision;
+  void onSnapshot(StorePosition newPosition, long newFailureAgeMs) {
+    position = newPosition;
     failureAgeMs = newFailureAgeMs;
     history.clear();
     keptItems = 0;
@@ -93,31 +95,32 @@
       link.send(declaration);
       subscriber.version = current.current().version();
     }
-    if (subscriber.revision == revision) {
-      link.send(new PeerMessage.StoreChanges(false, revision, revision, failureAgeMs, List.of()));
+    if (subscriber.position.equals(position)) {
+      link.send(new PeerMessage.StoreChanges(false, position, position, failureAgeMs, List.of()));
       return;
     }
-    List<Item> missed = missedItems(subscriber.revision);
+    List<Item> missed = missedItems(subscriber.position);
     boolean snapshot = missed == null;
     link.send(
         new PeerMessage.StoreChanges(
             snapshot,
-            subscriber.revision,
-            revision,
+            subscriber.position,
+            position,
             failureAgeMs,
             snapshot ? List.copyOf(allItems.get()) : missed));
-    subscriber.revision = revision;
+    subscriber.position = position;
   }
 
   /** Returns the items changed after {@code since}, or null if that is not known. */
-  private List<Item> missedItems(long since) {
-    if (history.isEmpty() || since < history.peekFirst().fromRevision || since > revision) {
+  private List<Item> missedItems(StorePosition since) {
+    boolean kept = !history.isEmpty() && !history.peekFirst().from.isAfter(since);
+    if (!kept || since.era() != position.era() || since.isAfter(position)) {
       return null;
     }
     List<Item> items = new ArrayList<>();
     for (Change change : history) {
       for (Item item : change.items) {
-        if (item.revision() > since) {
+        if (item.revision() > since.revision()) {
           items.add(item);
         }
       }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SnapshotReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SnapshotReader.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -9,7 +10,8 @@
 
 /**
  * Reads all items of the store, page by page. Pages are not a snapshot, so that the result has the
- * revision of the first page: a watch from there repeats what changed between pages.
+ * position of the first page: a watch from there repeats what changed between pages. Pages of two
+ * eras are not joined.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -18,8 +20,8 @@
 
   /** Receives the result. */
   interface Listener {
-    /** Receives all items, as of {@code revision} or later, requested at {@code requestNanos}. */
-    void read(List<Item> items, long requestNanos, long revision);
+    /** Receives all items, as of {@code position} or later, requested at {@code requestNanos}. */
+    void read(List<Item> items, long requestNanos, StorePosition position);
 
     /** Reports that a page could not be read. */
     void failed(Status status);
@@ -40,11 +42,11 @@
   void read() {
     if (!reading) {
       reading = true;
-      readPage("", new ArrayList<>(), loop.nowNanos(), Long.MAX_VALUE);
+      readPage("", new ArrayList<>(), loop.nowNanos(), null);
     }
   }
 
-  private void readPage(String after, List<Item> items, long requestNanos, long firstRevision) {
+  private void readPage(String after, List<Item> items, long requestNanos, StorePosition first) {
     store.range(
         ALL_KEYS,
         after,
@@ -54,15 +56,21 @@
             listener.failed(result.status());
             return;
           }
+          if (first != null && first.era() != result.position().era()) {
+            reading = false;
+            read();
+            return;
+          }
           items.addAll(result.items());
-          long revision = Math.min(firstRevision, result.revision());
+          StorePosition position =
+              first == null || first.isAfter(result.position()) ? result.position() : first;
           if (result.truncated() && !result.items().isEmpty()) {
             String last = result.items().get(result.items().size() - 1).key();
-            readPage(last, items, requestNanos, revision);
+            readPage(last, items, requestNanos, position);
             return;
           }
           reading = false;
-          listener.read(items, requestNanos, revision);
+          listener.read(items, requestNanos, position);
         });
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -1,19 +1,21 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /**
@@ -26,6 +28,8 @@
 final class StoreContents {
   // Entries whose leases expired during a store outage are rewritten within about two seconds.
   private static final long ENTRY_RECOVERY_NANOS = 2_500_000_000L;
+  // A member may use its part of a rate until its last proof expires, which is shorter.
+  private static final long MEMBER_RECOVERY_MS = 5_000;
 
   private final EventLoop loop;
   private final PlatformAdapter platform;
@@ -33,21 +37,28 @@
   private final Directory directory;
   private final FleetMembership fleet;
   private final Map<String, Item> items = new TreeMap<>();
-  private final Map<String, EventLoop.Timer> removals = new HashMap<>();
+  private final DelayedRemovals removals;
+  private final Predicate<String> reachable;
   private Item unreadableDeclaration;
   private long lastFailureNanos;
+  private boolean loaded;
+  private long era;
 
+  /** Creates contents; {@code reachable} tests whether the link to a member is up. */
   StoreContents(
       EventLoop loop,
       PlatformAdapter platform,
       Declarations declarations,
       Directory directory,
-      FleetMembership fleet) {
+      FleetMembership fleet,
+      Predicate<String> reachable) {
     this.loop = loop;
     this.platform = platform;
     this.declarations = declarations;
     this.directory = directory;
     this.fleet = fleet;
+    this.reachable = reachable;
+    removals = new DelayedRemovals(loop);
     lastFailureNanos = loop.nowNanos();
   }
 
@@ -91,34 +102,59 @@
     return item.key().startsWith(platform.targetsPrefix()) || fleet.ownsKey(item.key());
   }
 
-  /** Applies all items of the store; entries that are not among them are removed. */
-  void applySnapshot(List<Item> snapshot) {
+  /**
+   * Applies all items of the store in {@code snapshotEra}; entries that are not among them are
+   * removed. Those that a restore has lost are removed unless they are written again in time.
+   */
+  void applySnapshot(List<Item> snapshot, long snapshotEra) {
+    boolean restored = loaded && snapshotEra > era;
+    loaded = true;
+    era = snapshotEra;
     Set<String> keys = new HashSet<>();
     for (Item item : snapshot) {
-      apply(item);
+      apply(item, snapshotEra);
       keys.add(item.key());
     }
     items.keySet().retainAll(keys);
     for (TargetEntry entry : directory.entries()) {
       String key = platform.targetsPrefix() + entry.id();
       if (!keys.contains(key)) {
-        removeTarget(key);
+        removeTarget(key, !restored);
       }
     }
+    if (restored) {
+      fleet.keys().stream().filter(key -> !keys.contains(key)).forEach(this::removeMemberLater);
+    }
+    keys.addAll(removals.pending());
     fleet.retainMembers(keys);
   }
 
-  /** Applies one item. */
-  void apply(Item item) {
+  private void removeMemberLater(String key) {
+    removals.schedule(
+        key,
+        MEMBER_RECOVERY_MS,
+        () -> {
+          if (reachable.test(fleet.memberId(key))) {
+            removeMemberLater(key);
+          } else {
+            fleet.remove(key);
+          }
+        });
+  }
+
+  /** Applies one item of {@code itemEra}. */
+  void apply(Item item, long itemEra) {
+    StorePosition position = new StorePosition(itemEra, item.revision());
     try {
       if (item.key().equals(platform.declarationKey())) {
         applyDeclaration(item);
       } else if (isEntry(item)) {
         keep(item);
         if (fleet.ownsKey(item.key())) {
-          fleet.apply(item);
+          removals.cancel(item.key());
+          fleet.apply(item, position);
         } else {
-          applyTarget(item);
+          applyTarget(item, position);
         }
       }
     } catch (RuntimeException e) {
@@ -139,7 +175,9 @@
       return;
     }
     try {
-      declarations.accept(platform.decodeDeclaration(item.value()), item.value());
+      Declaration declaration = platform.decodeDeclaration(item.value());
+      declarations.onStoreVersion(declaration.version());
+      declarations.accept(declaration, item.value());
     } catch (IllegalArgumentException e) {
       declarations.markUnreadable();
       unreadableDeclaration = item;
@@ -150,9 +188,9 @@
     }
   }
 
-  private void applyTarget(Item item) {
+  private void applyTarget(Item item, StorePosition position) {
     if (item.value() == null) {
-      removeTarget(item.key());
+      removeTarget(item.key(), true);
       return;
     }
     TargetEntry entry = platform.decodeTarget(item.key(), item.value());
@@ -161,28 +199,22 @@
       directory.remove(targetId(item.key()));
       return;
     }
-    EventLoop.Timer removal = removals.remove(item.key());
-    if (removal != null) {
-      removal.cancel();
+    if (!directory.put(entry, position)) {
+      Logger.info("event=target_entry_outdated target={} era={}", entry.id(), position.era());
+    } else if (removals.cancel(item.key())) {
+      Logger.info("event=written_again key={} era={}", item.key(), position.era());
     }
-    directory.put(entry, item.revision());
   }
 
-  private void removeTarget(String key) {
+  /** Removes a target; {@code departed} tells whether the store says that it has left. */
+  private void removeTarget(String key, boolean departed) {
+    String id = targetId(key);
+    Runnable removal = departed ? () -> directory.remove(id) : () -> directory.forget(id);
     if (settled()) {
-      directory.remove(targetId(key));
-      return;
-    }
-    if (!removals.containsKey(key)) {
+      removal.run();
+    } else {
       long waitMs = TimeUnit.NANOSECONDS.toMillis(ENTRY_RECOVERY_NANOS) - failureAgeMs();
-      removals.put(
-          key,
-          loop.after(
-              waitMs,
-              () -> {
-                removals.remove(key);
-                directory.remove(targetId(key));
-              }));
+      removals.schedule(key, waitMs, removal);
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -1,6 +1,8 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.relay.RelaySelection;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -16,28 +18,24 @@
  * keys, then issues one watch after another; if the store no longer has the history that a watch
  * needs, reads a new snapshot.
  *
- * <p>Invariant: after each result, all changes up to {@link #revision} have been applied; the
- * revision never decreases. Thread safety: confined to the loop's thread.
+ * <p>Invariant: after each result, all changes up to {@link #position} have been applied; the
+ * position never decreases, and nothing of two eras of the store is mixed. Thread safety: confined
+ * to the loop's thread.
  */
 final class StoreSync {
-  // The result of a watch proves that keys are current, so it has to arrive often.
-  private static final long WATCH_WAIT_MS = 900;
-  // Used while other relays provide such proofs. A change still ends the watch at once.
-  private static final long LONG_WATCH_WAIT_MS = 8_000;
-  private static final long LONG_WATCH_MAX_PROOF_AGE_MS = 2_000;
   // Pause after a change, so that a series of changes costs one call. Short beside the bounds for
   // declarations, keys and targets, which are at least 3 s.
   private static final long CHANGE_PAUSE_MS = 150;
   // Maximum time for which this instance may stay behind its peers. Above the pause after a change
   // at their relays and at the own one.
   private static final long STALE_NANOS = 1_000_000_000L;
-  // While the store is unreachable, short watches detect its recovery early.
-  private static final long UNREACHABLE_WATCH_WAIT_MS = 1;
   private static final long RETRY_MS = 250;
   // A relay finds the recovery of the store and passes it on; the others seldom need to.
   private static final long NON_CANDIDATE_RETRY_MS = 2_000;
   // Time for the other instances of a fleet that starts to register themselves.
   private static final long START_PAUSE_MS = 300;
+  // Relays that a peer tells of a restore read the store within this time.
+  private static final long RELOAD_SPREAD_MS = 400;
   private static final String ALL_KEYS = "";
 
   private final EventLoop loop;
@@ -47,19 +45,17 @@
   private final FleetMembership fleet;
   private final Peers peers;
   private final RelayService relay;
+  private final StoreEra era;
+  private final RelaySubscription subscription;
+  private final WatchWait watchWait;
   private final SnapshotReader snapshots;
   private final String self;
   private RelaySelection selection;
-  private long revision;
+  private StorePosition position = StorePosition.NONE;
   private boolean loaded;
   private boolean watching;
-  private OutboundPeerLink followed;
-  private long followedConnection;
-  private boolean subscribed;
   private boolean paused;
   private long watchNumber;
-  private long watchStartedNanos;
-  private long watchWaitMs;
   private long behindSinceNanos;
   private boolean reachable;
   private Status lastFailure;
@@ -72,6 +68,7 @@
       FleetMembership fleet,
       Peers peers,
       RelayService relay,
+      StoreEra era,
       String self) {
     this.loop = loop;
     this.store = store;
@@ -80,6 +77,10 @@
     this.fleet = fleet;
     this.peers = peers;
     this.relay = relay;
+    this.era = era;
+    subscription = new RelaySubscription(loop, declarations);
+    watchWait = new WatchWait(loop, declarations, peers);
+    era.addListener(this::onNewEra);
     this.self = self;
     snapshots =
         new SnapshotReader(
@@ -87,8 +88,8 @@
             store,
             new SnapshotReader.Listener() {
               @Override
-              public void read(List<Item> items, long requestNanos, long snapshotRevision) {
-                onLoaded(items, requestNanos, snapshotRevision);
+              public void read(List<Item> items, long requestNanos, StorePosition readAt) {
+                onLoaded(items, requestNanos, readAt);
               }
 
               @Override
@@ -105,7 +106,7 @@
 
   /** Returns whether entries that expired during a store outage have had time to be rewritten. */
   boolean settled() {
-    return loaded && (watching ? reachable : subscribed) && contents.settled();
+    return loaded && (watching ? reachable : subscription.isAnswered()) && contents.settled();
   }
 
   /** Returns whether this instance watches the store itself. */
@@ -113,8 +114,8 @@
     return watching && loaded && reachable;
   }
 
-  long revision() {
-    return revision;
+  StorePosition position() {
+    return position;
   }
 
   /** Reads the members of the fleet, to find a relay, and then begins to follow or to watch. */
@@ -127,7 +128,7 @@
         FleetMembership.keyPrefix(),
         "",
         result -> {
-          result.items().forEach(contents::apply);
+          result.items().forEach(item -> contents.apply(item, result.position().era()));
           if (!firstStart && fleet.relayCandidates().size() < 2) {
             // No member is registered yet: the whole failure domain starts.
             loop.after(START_PAUSE_MS, () -> readMembers(true));
@@ -150,98 +151,110 @@
       return;
     }
     if (choice.equals(self)) {
-      stopFollowing();
+      subscription.stop();
       if (!watching) {
         beginWatching();
       }
     } else {
-      follow(peers.link(choice));
+      subscription.follow(peers.link(choice), position);
       checkSubscription();
     }
     replaceLongWatch();
   }
 
   private void beginWatching() {
-    Logger.info("event=store_watch_started revision={}", revision);
+    Logger.info("event=store_watch_started position={}", position);
     watching = true;
-    if (loaded) {
+    if (loaded && isOfCurrentEra() && !declarations.needsStoreVersion()) {
       watch();
     } else {
       load();
     }
   }
 
-  private void stopFollowing() {
-    followed = null;
-    subscribed = false;
+  private boolean isOfCurrentEra() {
+    return position.era() == era.current();
   }
 
-  private void follow(OutboundPeerLink link) {
-    if (link == followed && link.connectionNumber() == followedConnection) {
+  /**
+   * Reads a snapshot of the store after it was restored from an older copy. Relays that learn of it
+   * from a peer do so one after the other; an instance that follows a relay gets one from it.
+   */
+  private void onNewEra(StoreEra.Source source) {
+    contents.recordFailure(0);
+    declarations.onNewEra();
+    if (!watching) {
+      subscription.renew(position);
       return;
     }
-    followed = link;
-    followedConnection = link.connectionNumber();
-    subscribed = false;
-    subscribe();
+    long number = ++watchNumber;
+    double turn = Rendezvous.unitHash(self, "era " + era.current());
+    long delayMs = source == StoreEra.Source.STORE ? 0 : (long) (turn * RELOAD_SPREAD_MS);
+    loop.after(
+        delayMs,
+        () -> {
+          if (number == watchNumber && watching) {
+            load();
+          }
+        });
   }
 
   /** Repeats a subscription that was not answered, and watches the store meanwhile. */
   private void checkSubscription() {
-    if (!subscribed && loop.nowNanos() - behindSinceNanos > STALE_NANOS) {
-      subscribe();
+    if (subscription.isUnansweredFor(STALE_NANOS)) {
+      subscription.renew(position);
       if (!watching) {
         beginWatching();
       }
     }
   }
 
-  private void subscribe() {
-    Logger.info("event=relay_subscribed relay={} revision={}", followed.peer(), revision);
-    behindSinceNanos = loop.nowNanos();
-    followed.send(
-        new PeerMessage.Subscribe(loaded ? revision : 0, declarations.current().version()));
-  }
-
   /** Applies changes that the followed relay sent; those of another peer are ignored. */
   void onChanges(OutboundPeerLink link, PeerMessage.StoreChanges changes) {
-    if (link != followed) {
+    if (!subscription.isFollowing(link)) {
+      return;
+    }
+    era.observe(changes.position().era(), StoreEra.Source.PEER);
+    if (changes.position().era() < era.current()) {
+      Logger.warn("event=relay_outdated relay={} position={}", link.peer(), changes.position());
       return;
     }
     contents.recordFailure(changes.failureAgeMs());
-    boolean gap = !changes.snapshot() && (!loaded || changes.fromRevision() > revision);
+    boolean gap = !changes.snapshot() && (!loaded || !continues(changes));
     if (gap) {
       Logger.warn(
-          "event=relay_gap relay={} revision={} from={}",
-          link.peer(),
-          revision,
-          changes.fromRevision());
-      subscribe();
+          "event=relay_gap relay={} position={} from={}", link.peer(), position, changes.from());
+      subscription.renew(position);
       return;
     }
-    if (changes.revision() >= revision) {
+    if (!position.isAfter(changes.position())) {
       applyRelayed(changes);
     }
-    subscribed = true;
+    subscription.onAnswer();
     if (watching) {
-      Logger.info("event=store_watch_ended relay={} revision={}", link.peer(), revision);
+      Logger.info("event=store_watch_ended relay={} position={}", link.peer(), position);
       watching = false;
       watchNumber++;
     }
   }
 
+  private boolean continues(PeerMessage.StoreChanges changes) {
+    return changes.from().era() == position.era()
+        && changes.from().revision() <= position.revision();
+  }
+
   private void applyRelayed(PeerMessage.StoreChanges changes) {
-    final long before = revision;
-    revision = changes.revision();
+    final StorePosition before = position;
+    position = changes.position();
     if (changes.snapshot()) {
-      contents.applySnapshot(changes.items());
+      contents.applySnapshot(changes.items(), position.era());
       onFirstLoad();
-      relay.onSnapshot(revision, contents.failureAgeMs());
+      relay.onSnapshot(position, contents.failureAgeMs());
       return;
     }
-    changes.items().forEach(contents::apply);
-    if (revision > before) {
-      relay.onChanges(before, revision, contents.failureAgeMs(), changes.items());
+    changes.items().forEach(item -> contents.apply(item, position.era()));
+    if (position.isAfter(before)) {
+      relay.onChanges(before, position, contents.failureAgeMs(), changes.items());
     }
   }
 
@@ -258,14 +271,18 @@
     snapshots.read();
   }
 
-  private void onLoaded(List<Item> items, long requestNanos, long snapshotRevision) {
+  private void onLoaded(List<Item> items, long requestNanos, StorePosition readAt) {
+    if (readAt.era() < era.current()) {
+      load();
+      return;
+    }
     markReachable();
-    if (snapshotRevision >= revision) {
-      contents.applySnapshot(items);
-      revision = snapshotRevision;
+    if (!position.isAfter(readAt)) {
+      contents.applySnapshot(items, readAt.era());
+      position = readAt;
       onFirstLoad();
-      declarations.confirmCurrentAt(requestNanos);
-      relay.onSnapshot(revision, contents.failureAgeMs());
+      declarations.confirmByStoreAt(requestNanos);
+      relay.onSnapshot(position, contents.failureAgeMs());
     }
     if (watching) {
       watch();
@@ -276,12 +293,10 @@
     paused = false;
     long requestNanos = loop.nowNanos();
     long number = ++watchNumber;
-    watchStartedNanos = requestNanos;
-    watchWaitMs = nextWatchWaitMs();
     store.watch(
         ALL_KEYS,
-        revision,
-        watchWaitMs,
+        position.revision(),
+        watchWait.start(reachable),
         result -> {
           if (number == watchNumber) {
             onWatchResult(result, requestNanos);
@@ -289,49 +304,43 @@
         });
   }
 
-  private long nextWatchWaitMs() {
-    if (!reachable) {
-      return UNREACHABLE_WATCH_WAIT_MS;
-    }
-    boolean peersProvideProofs = declarations.proofAgeMs() < LONG_WATCH_MAX_PROOF_AGE_MS;
-    return peers.providesProofs() || !peersProvideProofs ? WATCH_WAIT_MS : LONG_WATCH_WAIT_MS;
-  }
-
   /**
-   * Compares the store revision that a peer has applied with that of this instance. A watch or a
-   * subscription that stays behind the peers for too long counts as dead and is replaced.
+   * Compares the position of the store that a peer has applied with that of this instance. A watch
+   * or a subscription that stays behind the peers for too long counts as dead and is replaced.
    */
-  void onPeerRevision(long peerRevision) {
-    boolean comparable = watching ? reachable && !paused : subscribed;
-    if (peerRevision <= revision || !loaded || !comparable) {
+  void onPeerPosition(StorePosition peerPosition) {
+    era.observe(peerPosition.era(), StoreEra.Source.PEER);
+    boolean comparable = watching ? reachable && !paused : subscription.isAnswered();
+    boolean ahead =
+        peerPosition.era() == position.era() && peerPosition.revision() > position.revision();
+    if (!ahead || !loaded || !comparable) {
       behindSinceNanos = loop.nowNanos();
     } else if (loop.nowNanos() - behindSinceNanos > STALE_NANOS) {
-      Logger.warn("event=watch_behind revision={} peer_revision={}", revision, peerRevision);
+      Logger.warn("event=watch_behind position={} peer_position={}", position, peerPosition);
       behindSinceNanos = loop.nowNanos();
       if (watching) {
         watch();
       } else {
-        subscribe();
+        subscription.renew(position);
       }
     }
   }
 
   /** Replaces a long watch by a short one when peers no longer provide proofs. */
   private void replaceLongWatch() {
-    boolean longWatch = watching && loaded && reachable && watchWaitMs == LONG_WATCH_WAIT_MS;
-    boolean recentlyStarted = loop.nowNanos() - watchStartedNanos < STALE_NANOS;
-    boolean proofTooOld = declarations.proofAgeMs() > LONG_WATCH_MAX_PROOF_AGE_MS;
-    if (longWatch && !paused && !recentlyStarted && proofTooOld) {
+    if (watching && loaded && reachable && !paused && watchWait.isTooLong()) {
       watch();
     }
   }
 
   private void onWatchResult(ReadResult result, long requestNanos) {
-    if (result.status() == Status.OK) {
+    if (result.status() == Status.OK && result.position().era() != position.era()) {
+      load();
+    } else if (result.status() == Status.OK) {
       markReachable();
       applyChanges(result, requestNanos);
     } else if (result.status() == Status.HISTORY_LOST) {
-      Logger.info("event=history_lost revision={}", revision);
+      Logger.info("event=history_lost position={}", position);
       load();
     } else {
       onFailure(result.status(), this::watch);
@@ -341,19 +350,19 @@
   private void applyChanges(ReadResult result, long requestNanos) {
     List<Item> entries = new ArrayList<>();
     for (Item item : result.items()) {
-      contents.apply(item);
+      contents.apply(item, position.era());
       if (contents.isRelayed(item)) {
         entries.add(item);
       }
     }
-    declarations.confirmCurrentAt(requestNanos);
-    long before = revision;
-    revision = Math.max(revision, result.revision());
-    if (revision == before) {
+    declarations.confirmByStoreAt(requestNanos);
+    StorePosition before = position;
+    position = result.position().isAfter(position) ? result.position() : position;
+    if (position.equals(before)) {
       watch();
       return;
     }
-    relay.onChanges(before, revision, contents.failureAgeMs(), entries);
+    relay.onChanges(before, position, contents.failureAgeMs(), entries);
     paused = true;
     long number = watchNumber;
     loop.after(
@@ -369,7 +378,7 @@
     if (!reachable) {
       reachable = true;
       lastFailure = null;
-      Logger.info("event=store_reachable revision={}", revision);
+      Logger.info("event=store_reachable position={}", position);
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.port;
 
+import io.hickorydrift.core.store.StorePosition;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -11,6 +12,9 @@
   /** Revision of a key that does not exist. */
   long ABSENT = 0;
 
+  /** Era of an answer that does not name one, or of a call without an answer. */
+  long NO_ERA = -1;
+
   /** Lease id of an item that is not bound to a lease. */
   long NO_LEASE = 0;
 
@@ -33,11 +37,19 @@
   /** An item; {@code value} is null in a removal event. */
   record Item(String key, byte[] value, long revision) {}
 
-  /** Items or events, and the revision of the store at which they were read. */
-  record ReadResult(Status status, List<Item> items, boolean truncated, long revision) {}
+  /** Items or events, and the position of the store at which they were read. */
+  record ReadResult(Status status, List<Item> items, boolean truncated, StorePosition position) {
+    /** Returns a result without items. */
+    public static ReadResult empty(Status status, long era) {
+      return new ReadResult(status, List.of(), false, new StorePosition(era, 0));
+    }
+  }
 
-  /** Result of a write or a lease call; {@code value} is a revision or the lease's id. */
-  record UpdateResult(Status status, long value) {}
+  /**
+   * Result of a write or a lease call; {@code value} is a revision or the lease's id, in {@code
+   * era}.
+   */
+  record UpdateResult(Status status, long value, long era) {}
 
   /** An atomic write that is applied only if all conditions hold. */
   record Write(List<Condition> conditions, List<Put> puts, List<String> deletes) {}
--- /dev/null
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/DeclarationsEraTest.java
@@ -0,0 +1,90 @@
+package io.hickorydrift.proxy.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.declaration.Declaration;
+import io.hickorydrift.proxy.net.EventLoop;
+import io.hickorydrift.proxy.net.ManualTime;
+import java.io.IOException;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests which answers of the store confirm keys after a restore. */
+class DeclarationsEraTest {
+  private static final long KEY_VALIDITY_MS = 4_600;
+  private static final long STEP_MS = 100;
+
+  private final ManualTime time = new ManualTime();
+  private final EventLoop loop = new EventLoop(time);
+  private final Declarations declarations = new Declarations(loop, KEY_VALIDITY_MS);
+
+  private void showInStore(long version) {
+    declarations.onStoreVersion(version);
+    declarations.accept(
+        new Declaration(version, Map.of(), Map.of(), Map.of(), Map.of(), 0), new byte[0]);
+  }
+
+  private boolean confirmedAfter(long ms) throws IOException {
+    for (long elapsed = 0; elapsed < ms; elapsed += STEP_MS) {
+      time.advanceMs(Math.min(STEP_MS, ms - elapsed));
+      loop.runOnce(0);
+    }
+    declarations.confirmByStoreAt(loop.nowNanos());
+    return declarations.keysConfirmedCurrent();
+  }
+
+  @BeforeEach
+  void confirmVersion7() {
+    showInStore(6);
+    showInStore(7);
+    declarations.confirmByStoreAt(loop.nowNanos());
+  }
+
+  @Test
+  void copyOfAnOlderVersionConfirmsNothing() throws IOException {
+    declarations.onNewEra();
+    showInStore(6);
+    assertThat(declarations.current().version()).isEqualTo(7);
+    assertThat(confirmedAfter(KEY_VALIDITY_MS - 1)).as("by the last proof").isTrue();
+    assertThat(confirmedAfter(1)).as("after the last proof").isFalse();
+    showInStore(7);
+    assertThat(confirmedAfter(0)).as("after the operator's write").isTrue();
+  }
+
+  @Test
+  void versionOfPeerIsWaitedFor() throws IOException {
+    declarations.onNewEra();
+    declarations.onKnownVersion(9);
+    showInStore(7);
+    assertThat(confirmedAfter(KEY_VALIDITY_MS)).isFalse();
+    showInStore(9);
+    assertThat(confirmedAfter(0)).isTrue();
+  }
+
+  @Test
+  void nothingIsConfirmedBeforeTheStoreHasShownItsVersion() throws IOException {
+    declarations.onNewEra();
+    assertThat(declarations.needsStoreVersion()).isTrue();
+    assertThat(confirmedAfter(KEY_VALIDITY_MS)).isFalse();
+    showInStore(7);
+    assertThat(declarations.needsStoreVersion()).isFalse();
+    assertThat(confirmedAfter(0)).isTrue();
+  }
+
+  @Test
+  void unreadableVersionThatTheRestoreLostNoLongerCounts() throws IOException {
+    declarations.markUnreadable();
+    declarations.onNewEra();
+    showInStore(6);
+    assertThat(confirmedAfter(0)).isFalse();
+    showInStore(7);
+    assertThat(confirmedAfter(0)).isTrue();
+  }
+
+  @Test
+  void withoutRestoreAnAnswerConfirms() throws IOException {
+    declarations.onKnownVersion(9);
+    assertThat(confirmedAfter(KEY_VALIDITY_MS)).isTrue();
+  }
+}
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.ManualTime;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -35,8 +36,12 @@
     }
   }
 
+  private void apply(Item item) {
+    fleet.apply(item, new StorePosition(0, item.revision()));
+  }
+
   private void loseOwnEntry() {
-    fleet.apply(new Item(OWN_KEY, null, 1_000));
+    apply(new Item(OWN_KEY, null, 1_000));
   }
 
   @Test
@@ -64,7 +69,7 @@
     RecordingStore.Call grant = store.last("grant");
     fleet.leave();
     store.calls.clear();
-    grant.onResult().accept(new UpdateResult(Status.OK, 77));
+    grant.onResult().accept(new UpdateResult(Status.OK, 77, 0));
     assertThat(store.last("revoke").lease()).isEqualTo(77);
     assertThat(store.count("write")).isZero();
   }
@@ -72,8 +77,8 @@
   @Test
   void removalOfAnEarlierEntryIsIgnored() {
     final int grants = store.count("grant");
-    fleet.apply(new Item(OWN_KEY, "127.0.0.1:9 1 z".getBytes(), 1_001));
-    fleet.apply(new Item(OWN_KEY, null, 1));
+    apply(new Item(OWN_KEY, "127.0.0.1:9 1 z".getBytes(), 1_001));
+    apply(new Item(OWN_KEY, null, 1));
     assertThat(fleet.isMember()).isTrue();
     assertThat(store.count("grant")).isEqualTo(grants);
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.OutBuffer;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import java.nio.ByteBuffer;
@@ -19,12 +20,12 @@
 class PeerMessageCodecTest {
   static List<PeerMessage> messages() {
     return List.of(
-        new PeerMessage.Ping("gw-1", 7, true),
+        new PeerMessage.Ping("gw-1", 7, true, 3),
         new PeerMessage.Pong(
             7,
             12,
             -1,
-            530,
+            new StorePosition(3, 530),
             true,
             List.of(
                 new PeerMessage.PrimaryStatus("g", new Position(3, 1207), 40, "t1", 0),
@@ -33,9 +34,13 @@
         new PeerMessage.TokenRequest(new GrantRequest(4, "red", 1.5, List.of(1L, 2L))),
         new PeerMessage.TokenResponse(new GrantAnswer(4, "red", 9, 0.25)),
         new PeerMessage.DeclarationRequest(12),
-        new PeerMessage.Subscribe(530, 12),
+        new PeerMessage.Subscribe(new StorePosition(3, 530), 12),
         new PeerMessage.StoreChanges(
-            false, 530, 532, 90_000, List.of(new KeyValueStore.Item("targets/t1", null, 531))));
+            false,
+            new StorePosition(3, 530),
+            new StorePosition(3, 532),
+            90_000,
+            List.of(new KeyValueStore.Item("targets/t1", null, 531))));
   }
 
   @ParameterizedTest
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.bench.FreePorts;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.ManualTime;
@@ -33,7 +34,8 @@
   private PromotionAttempt attempt() {
     for (int i = 0; i < 3; i++) {
       directory.put(
-          new TargetEntry("t" + i, "g", FreePorts.nextAddress(), "z", 3, false, i == 0, 1), 1);
+          new TargetEntry("t" + i, "g", FreePorts.nextAddress(), "z", 3, false, i == 0, 1, 1),
+          new StorePosition(0, 1));
     }
     GroupState group = directory.group("g");
     return new PromotionAttempt(
@@ -59,7 +61,7 @@
     PromotionAttempt attempt = attempt();
     attempt.start();
     attempt.end("clock pause");
-    store.last("grant").onResult().accept(new UpdateResult(Status.OK, 7));
+    store.last("grant").onResult().accept(new UpdateResult(Status.OK, 7, 0));
     assertThat(store.last("revoke").lease()).isEqualTo(7);
     assertThat(store.count("write")).isZero();
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/RecordingStore.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/RecordingStore.java
@@ -15,6 +15,7 @@
 
   final List<Call> calls = new ArrayList<>();
   boolean immediate;
+  long era;
   private long nextLease = 1;
 
   int count(String name) {
@@ -32,7 +33,7 @@
   private void record(String name, long lease, long value, Consumer<UpdateResult> onResult) {
     calls.add(new Call(name, lease, onResult));
     if (immediate) {
-      onResult.accept(new UpdateResult(Status.OK, value));
+      onResult.accept(new UpdateResult(Status.OK, value, era));
     }
   }
 
@@ -51,7 +52,11 @@
 
   @Override
   public void write(Write write, Consumer<UpdateResult> onResult) {
-    record("write", write.puts().get(0).lease(), calls.size() + 1, onResult);
+    if (write.puts().isEmpty()) {
+      record("delete", NO_LEASE, calls.size() + 1, onResult);
+    } else {
+      record("write", write.puts().get(0).lease(), calls.size() + 1, onResult);
+    }
   }
 
   @Override
