Let fencing tokens rise across a restore of the store

Cause: the fencing token was the revision of the promotion key. A restored store gives out lower ones, so that each promotion would be refused until the revisions had caught up; an attempt went on with a lease id that may be another's, and revoked it at its end.

The token is era x 2^40 + revision (era 0: the revision, as before). Attempts end when a new era is learned, leave their lease alone and delete a key that was written under it afterwards; the next one begins under a lease of the new era. A refusal is logged apart (promotion_refused) with whether the target is registered: the platform answers 409 both to a low fence and to a target that is not running, so that the two cannot be told apart for certain.

Red with these parts made void, green now: PromotionAttemptTest requestCarriesFenceAboveThoseOfEarlierEras, attemptOfAnEarlierEraLeavesItsLeaseAlone, keyWrittenUnderLeaseOfAnEarlierEraIsDeleted.

Not mended: a key written by a call without an answer under a reused id stays as long as that lease.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.promotion.PositionSurvey;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
 import io.hickorydrift.core.promotion.PromotionCandidates;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Condition;
@@ -60,6 +61,7 @@
   private Position chosenPosition;
   private boolean leaseHeldByAnother;
   private boolean ended;
+  private boolean ofEarlierEra;
 
   PromotionAttempt(
       EventLoop loop,
@@ -86,6 +88,11 @@
     return ended;
   }
 
+  /** Returns the fencing token of the attempt's requests, 0 before it has one. */
+  long fence() {
+    return fence;
+  }
+
   /** Returns whether the attempt ended because another instance holds the promotion lease. */
   boolean leaseHeldByAnother() {
     return leaseHeldByAnother;
@@ -120,6 +127,9 @@
 
   private void onLeaseKeyWritten(UpdateResult result) {
     if (ended) {
+      if (ofEarlierEra && result.status() == Status.OK) {
+        deleteKey(result.value());
+      }
       return;
     }
     if (result.status() != Status.OK) {
@@ -127,12 +137,20 @@
       end("promotion lease not acquired: " + result.status());
       return;
     }
-    fence = result.value();
+    fence = new StorePosition(result.era(), result.value()).fencingToken();
     Logger.info("event=promotion_lease_acquired group={} fence={}", group.name(), fence);
     loop.after(LEASE_RENEWAL_MS, this::renewLease);
     surveyReplicas();
   }
 
+  /** Deletes a key that was written under the id of a lease of an earlier era. */
+  private void deleteKey(long revision) {
+    String key = LEASE_KEY_PREFIX + group.name();
+    store.write(
+        new Write(List.of(new Condition(key, revision)), List.of(), List.of(key)),
+        result -> Logger.info("event=promotion_key_deleted status={}", result.status()));
+  }
+
   private void renewLease() {
     if (ended) {
       return;
@@ -253,6 +271,13 @@
       return;
     }
     if (result == PromotionClient.Result.REFUSED) {
+      // The platform does not tell a low fence from a target that is not running.
+      Logger.warn(
+          "event=promotion_refused group={} target={} fence={} registered={}",
+          group.name(),
+          chosen.entry().id(),
+          fence,
+          group.targets().contains(chosen));
       end("refused");
     } else if (result == PromotionClient.Result.ACCEPTED) {
       awaitNewPrimary(loop.nowNanos());
@@ -293,6 +318,13 @@
     return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - sinceNanos);
   }
 
+  /** Ends the attempt after the store was restored; its lease's id may be another's now. */
+  void endInNewEra() {
+    ofEarlierEra = true;
+    lease = KeyValueStore.NO_LEASE;
+    end("store restored");
+  }
+
   /** Ends the attempt and releases the promotion lease. */
   void end(String reason) {
     if (ended) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
@@ -17,8 +17,8 @@
 
 /**
  * Monitors all groups and replaces a primary that is dead, absent or about to leave. For each group
- * one instance at a time does so, under a promotion lease in the store; the revision of the key
- * that is bound to the lease is the fencing token.
+ * one instance at a time does so, under a promotion lease in the store; the position of the key
+ * that is bound to the lease gives the fencing token.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -76,6 +76,12 @@
     loop.clock().onClockPause(this::endAllAttempts);
   }
 
+  /** Ends all attempts after the store was restored: their leases and keys may be another's. */
+  void onNewEra() {
+    attempts.values().forEach(PromotionAttempt::endInNewEra);
+    attempts.clear();
+  }
+
   private void endAllAttempts() {
     attempts.values().forEach(attempt -> attempt.end("clock pause"));
     attempts.clear();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -65,4 +65,41 @@
     assertThat(store.last("revoke").lease()).isEqualTo(7);
     assertThat(store.count("write")).isZero();
   }
+
+  @Test
+  void attemptOfAnEarlierEraLeavesItsLeaseAlone() {
+    store.immediate = true;
+    PromotionAttempt attempt = attempt();
+    attempt.start();
+    assertThat(store.count("write")).isEqualTo(1);
+    attempt.endInNewEra();
+    assertThat(attempt.ended()).isTrue();
+    assertThat(store.count("revoke")).isZero();
+  }
+
+  @Test
+  void keyWrittenUnderLeaseOfAnEarlierEraIsDeleted() {
+    PromotionAttempt attempt = attempt();
+    attempt.start();
+    store.last("grant").onResult().accept(new UpdateResult(Status.OK, 7, 0));
+    RecordingStore.Call write = store.last("write");
+    attempt.endInNewEra();
+    write.onResult().accept(new UpdateResult(Status.OK, 31, 1));
+    assertThat(store.count("delete")).isEqualTo(1);
+  }
+
+  @Test
+  void requestCarriesFenceAboveThoseOfEarlierEras() throws IOException {
+    assertThat(fenceOfAttemptIn(1)).isGreaterThan(new StorePosition(0, 1_000_000).fencingToken());
+    assertThat(fenceOfAttemptIn(0)).isLessThan(1_000);
+  }
+
+  private long fenceOfAttemptIn(long era) {
+    store.immediate = true;
+    store.era = era;
+    PromotionAttempt attempt = attempt();
+    attempt.start();
+    attempt.end("test");
+    return attempt.fence();
+  }
 }
