Let one instance of a domain read a restored store

All leases were renewed again 0.4 s after a refusal.

The instance that the store tells a new era pings its peers at once. The first candidate for the relay reads the store; the others wait 0.45 to 0.9 s for its changes and read only if none came. A renewal that failed is repeated after 1 s (before: 0.4 s, then doubling); two more attempts still fit into the lease of 6 s.

Green: FleetMembershipTest, PeerMessageCodecTest, PromotionAttemptTest, GatewayTest, GatewayRelayTest, GatewayRelayFaultsTest, GatewayHomesTest, GatewayStoreCallsTest, DecoderFuzzTest.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -36,6 +36,8 @@
   private static final long LEASE_TTL_MS = 6_000;
   private static final long LEASE_RENEWAL_MS = 2_500;
   private static final long RETRY_MS = 400;
+  // Two more attempts fit into the lease after a renewal that failed.
+  private static final long RENEWAL_RETRY_MS = 1_000;
   private static final long MAX_RETRY_MS = 1_600;
   // Spreads the registrations of a fleet after a restore of the store.
   private static final long REJOIN_SPREAD_MS = 800;
@@ -344,7 +346,7 @@
             rejoin(number);
           } else {
             boolean renewed = result.status() == Status.OK;
-            retryMs = renewed ? RETRY_MS : retryMs;
+            retryMs = renewed ? RETRY_MS : Math.max(RENEWAL_RETRY_MS, retryMs);
             loop.after(renewed ? LEASE_RENEWAL_MS : nextRetryMs(), () -> renewLease(number));
           }
         });
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -274,6 +274,13 @@
     }
   }
 
+  /** Sends a ping without waiting for the next heartbeat. */
+  void requestStatus() {
+    if (open && !channel.isClosed()) {
+      sendPing();
+    }
+  }
+
   private void sendPing() {
     pingSentNanos.put(++lastSequence, loop.nowNanos());
     send(new PeerMessage.Ping(self, lastSequence, needsStatus, era.current()));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -78,7 +78,7 @@
     this.prober = prober;
     this.homes = homes;
     this.era = era;
-    era.addListener(source -> eraSinceNanos = loop.nowNanos());
+    era.addListener(this::onNewEra);
   }
 
   void start(
@@ -107,6 +107,14 @@
     relay.onLinkClosed(inbound);
   }
 
+  /** Tells the peers of a new era that the store named, rather than at the next heartbeat. */
+  private void onNewEra(StoreEra.Source source) {
+    eraSinceNanos = loop.nowNanos();
+    if (source == StoreEra.Source.STORE) {
+      liveLinks().forEach(OutboundPeerLink::requestStatus);
+    }
+  }
+
   /** Opens and closes links as members come and go, and sends the heartbeats that are due. */
   void updateLinks() {
     if (closed) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RelaySubscription.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RelaySubscription.java
@@ -15,7 +15,7 @@
   private OutboundPeerLink followed;
   private long followedConnection;
   private boolean answered;
-  private long sentNanos;
+  private long awaitedSinceNanos;
 
   RelaySubscription(EventLoop loop, Declarations declarations) {
     this.loop = loop;
@@ -45,8 +45,7 @@
 
   private void send(StorePosition applied) {
     Logger.info("event=relay_subscribed relay={} position={}", followed.peer(), applied);
-    answered = false;
-    sentNanos = loop.nowNanos();
+    awaitAnswer();
     followed.send(new PeerMessage.Subscribe(applied, declarations.current().version()));
   }
 
@@ -54,9 +53,18 @@
     return link == followed;
   }
 
-  /** Records that the relay has answered. */
+  /** Waits for changes from the relay, which sends them without being asked again. */
+  void awaitAnswer() {
+    answered = false;
+    awaitedSinceNanos = loop.nowNanos();
+  }
+
+  /** Records that the relay has answered, and queries the status that goes with the answer. */
   void onAnswer() {
-    answered = true;
+    if (!answered) {
+      answered = true;
+      followed.requestStatus();
+    }
   }
 
   boolean isAnswered() {
@@ -65,6 +73,6 @@
 
   /** Returns whether the relay has not answered for {@code nanos}. */
   boolean isUnansweredFor(long nanos) {
-    return !answered && loop.nowNanos() - sentNanos > nanos;
+    return !answered && loop.nowNanos() - awaitedSinceNanos > nanos;
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -34,8 +34,9 @@
   private static final long NON_CANDIDATE_RETRY_MS = 2_000;
   // Time for the other instances of a fleet that starts to register themselves.
   private static final long START_PAUSE_MS = 300;
-  // Relays that a peer tells of a restore read the store within this time.
-  private static final long RELOAD_SPREAD_MS = 400;
+  // Time for the first candidate for the relay to read the store and, by its next heartbeat, to say
+  // so.
+  private static final long RELOAD_WAIT_MS = 450;
   private static final String ALL_KEYS = "";
 
   private final EventLoop loop;
@@ -177,21 +178,19 @@
   }
 
   /**
-   * Reads a snapshot of the store after it was restored from an older copy. Relays that learn of it
-   * from a peer do so one after the other; an instance that follows a relay gets one from it.
+   * Handles that the store was restored from an older copy. The first candidate for the relay reads
+   * a snapshot at once. The others get it from their relay, and read one only if none came.
    */
   private void onNewEra(StoreEra.Source source) {
     contents.recordFailure(0);
     declarations.onNewEra();
     if (!watching) {
-      subscription.renew(position);
+      subscription.awaitAnswer();
       return;
     }
     long number = ++watchNumber;
-    double turn = Rendezvous.unitHash(self, "era " + era.current());
-    long delayMs = source == StoreEra.Source.STORE ? 0 : (long) (turn * RELOAD_SPREAD_MS);
     loop.after(
-        delayMs,
+        reloadDelayMs(),
         () -> {
           if (number == watchNumber && watching) {
             load();
@@ -199,6 +198,14 @@
         });
   }
 
+  private long reloadDelayMs() {
+    if (fleet.relayCandidates().indexOf(self) == 0) {
+      return 0;
+    }
+    double turn = Rendezvous.unitHash(self, "era " + era.current());
+    return (long) ((1 + turn) * RELOAD_WAIT_MS);
+  }
+
   /** Repeats a subscription that was not answered, and watches the store meanwhile. */
   private void checkSubscription() {
     if (subscription.isUnansweredFor(STALE_NANOS)) {
@@ -328,7 +335,7 @@
 
   /** Replaces a long watch by a short one when peers no longer provide proofs. */
   private void replaceLongWatch() {
-    if (watching && loaded && reachable && !paused && watchWait.isTooLong()) {
+    if (isWatching() && isOfCurrentEra() && !paused && watchWait.isTooLong()) {
       watch();
     }
   }
