Read the store's version again after following a relay

Cause: since a restore, a store answer confirms keys only if the store shows the newest version known. An instance that watched, followed a relay, received a newer declaration from it and watched again from a later position was never shown that version, and no answer of the store confirmed its keys any more.

The rule ends when the store has shown the newest known version 10 s or later after the restore, so that later takeovers cost no additional call.

Red with these lines removed (scratch copy), green now: DeclarationsEraTest versionThatArrivedWhileFollowingRelayIsReadFromTheStore and restoreIsOverOnceTheStoreHasCaughtUp. Green: StoreEraTest (19), GatewayRelayTest, GatewayRelayFaultsTest, GatewayStoreCallsTest.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -17,6 +17,9 @@
 final class Declarations {
   // A peer that misses more versions than this is sent the whole declaration.
   private static final int KEPT_VERSIONS = 4;
+  private static final long UNKNOWN_VERSION = Declaration.NONE.version() - 1;
+  // Twice the longest validity of a proof: by then, peers that were cut off have been heard.
+  private static final long RESTORE_NANOS = 10_000_000_000L;
 
   private final EventLoop loop;
   private long keyValidityNanos;
@@ -26,6 +29,7 @@
   private boolean confirmed;
   private boolean unreadable;
   private boolean restored;
+  private long restoredNanos;
   private boolean olderShownLogged;
   private long shownVersion;
   private long newestKnownVersion;
@@ -126,13 +130,19 @@
   /** Handles that the store was restored from an older copy. */
   void onNewEra() {
     restored = true;
+    restoredNanos = loop.nowNanos();
     olderShownLogged = false;
-    shownVersion = Declaration.NONE.version() - 1;
+    shownVersion = UNKNOWN_VERSION;
+  }
+
+  /** Records that this instance no longer sees itself what the store holds. */
+  void onStoreUnwatched() {
+    shownVersion = UNKNOWN_VERSION;
   }
 
   /** Returns whether the version that the store holds since its last restore is not known yet. */
   boolean needsStoreVersion() {
-    return restored && shownVersion < Declaration.NONE.version();
+    return restored && shownVersion == UNKNOWN_VERSION;
   }
 
   /**
@@ -143,6 +153,7 @@
   void confirmByStoreAt(long requestNanos) {
     if (!restored || shownVersion >= newestKnownVersion) {
       confirmCurrentAt(requestNanos);
+      restored &= loop.nowNanos() - restoredNanos < RESTORE_NANOS;
     } else if (!olderShownLogged) {
       olderShownLogged = true;
       Logger.warn(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -242,6 +242,7 @@
       Logger.info("event=store_watch_ended relay={} position={}", link.peer(), position);
       watching = false;
       watchNumber++;
+      declarations.onStoreUnwatched();
     }
   }
 
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/DeclarationsEraTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/DeclarationsEraTest.java
@@ -14,6 +14,7 @@
 class DeclarationsEraTest {
   private static final long KEY_VALIDITY_MS = 4_600;
   private static final long STEP_MS = 100;
+  private static final long RESTORE_MS = 10_000;
 
   private final ManualTime time = new ManualTime();
   private final EventLoop loop = new EventLoop(time);
@@ -21,6 +22,10 @@
 
   private void showInStore(long version) {
     declarations.onStoreVersion(version);
+    accept(version);
+  }
+
+  private void accept(long version) {
     declarations.accept(
         new Declaration(version, Map.of(), Map.of(), Map.of(), Map.of(), 0), new byte[0]);
   }
@@ -82,6 +87,32 @@
     assertThat(confirmedAfter(0)).isTrue();
   }
 
+  @Test
+  void versionThatArrivedWhileFollowingRelayIsReadFromTheStore() throws IOException {
+    declarations.onNewEra();
+    showInStore(7);
+    declarations.onStoreUnwatched();
+    accept(8);
+    assertThat(declarations.needsStoreVersion()).isTrue();
+    showInStore(8);
+    assertThat(confirmedAfter(KEY_VALIDITY_MS)).isTrue();
+  }
+
+  @Test
+  void restoreIsOverOnceTheStoreHasCaughtUp() throws IOException {
+    declarations.onNewEra();
+    showInStore(6);
+    confirmedAfter(RESTORE_MS);
+    declarations.onStoreUnwatched();
+    assertThat(declarations.needsStoreVersion()).as("not caught up").isTrue();
+    showInStore(7);
+    confirmedAfter(0);
+    declarations.onStoreUnwatched();
+    assertThat(declarations.needsStoreVersion()).as("caught up").isFalse();
+    accept(8);
+    assertThat(confirmedAfter(KEY_VALIDITY_MS)).isTrue();
+  }
+
   @Test
   void withoutRestoreAnAnswerConfirms() throws IOException {
     declarations.onKnownVersion(9);
