Tell how to see a restore of the store in logs and metrics

Positions in log lines contained a space, which broke key=value; they read era:revision now. written_again was logged before the entry was written and is logged after it.

--- a/core/src/main/java/io/hickorydrift/core/store/StorePosition.java
+++ b/core/src/main/java/io/hickorydrift/core/store/StorePosition.java
@@ -38,4 +38,9 @@
   public long fencingToken() {
     return (era << REVISION_BITS) + revision;
   }
+
+  @Override
+  public String toString() {
+    return era + ":" + revision;
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -239,7 +239,6 @@
         (long) (turn * REJOIN_SPREAD_MS),
         () -> {
           if (isCurrent(current)) {
-            Logger.info("event=written_again key={}{} era={}", KEY_PREFIX, instance, era);
             join();
           }
         });
@@ -313,6 +312,9 @@
     if (result.status() == Status.OK) {
       registered = true;
       retryMs = RETRY_MS;
+      if (ownEntryPosition.isAfter(StorePosition.NONE) && result.era() > ownEntryPosition.era()) {
+        Logger.info("event=written_again key={}{} era={}", KEY_PREFIX, instance, result.era());
+      }
       ownEntryPosition = new StorePosition(result.era(), result.value());
       loop.after(LEASE_RENEWAL_MS, () -> renewLease(number));
     } else if (result.status() == Status.NOT_FOUND) {
