--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -230,7 +230,7 @@
     if (leaving || registration == 0) {
       return;
     }
-    long current = ++registration;
+    final long current = ++registration;
     registered = false;
     lease = KeyValueStore.NO_LEASE;
     retryMs = RETRY_MS;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -107,7 +107,7 @@
    * removed. Those that a restore has lost are removed unless they are written again in time.
    */
   void applySnapshot(List<Item> snapshot, long snapshotEra) {
-    boolean restored = loaded && snapshotEra > era;
+    final boolean restored = loaded && snapshotEra > era;
     loaded = true;
     era = snapshotEra;
     Set<String> keys = new HashSet<>();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
@@ -42,7 +42,7 @@
     if (known && era <= current) {
       return;
     }
-    boolean restored = known;
+    final boolean restored = known;
     Logger.info("event=store_era era={} before={} source={}", era, known ? current : "", source);
     known = true;
     current = Math.max(current, era);
