--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -50,6 +50,7 @@
   private final Declarations declarations;
   private final FleetMembership fleet;
   private final TargetPools pools;
+  private final Directory directory;
   private final StoreSync sync;
   private final RelayService relay;
   private final PrimaryProber prober;
@@ -79,7 +80,7 @@
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
     homes = new HomeRouter(loop, declarations, fleet, settings.id());
     pools = new TargetPools(loop, platform.targetCodec(), homes);
-    Directory directory = new Directory(this::onTargetRemoved);
+    directory = new Directory(this::onTargetRemoved);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
@@ -165,6 +166,7 @@
   }
 
   private void registerGauges() {
+    metrics.registerGauge("targets", "Registered targets", () -> directory.entries().size());
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -125,7 +125,7 @@
   }
 
   @Test
-  void keepsABoundedNumberOfHeaders() throws IOException {
+  void keepsBoundedNumberOfHeaders() throws IOException {
     StringBuilder headers = new StringBuilder("X-Count: 7\r\n");
     for (int i = 0; i < 200; i++) {
       headers.append("X-").append(i).append(": 1\r\n");
