Log the first of a series of outdated answers of the store

Cause: an era that falls and stays low was logged with each answer. StoreEra logs the first of a series.

Green: EraCheckedStoreTest, FleetMembershipTest, PromotionAttemptTest, PeerMessageCodecTest, DecoderFuzzTest, GatewayRelayTest.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/EraCheckedStore.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/EraCheckedStore.java
@@ -3,7 +3,6 @@
 import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import java.util.function.Consumer;
-import org.tinylog.Logger;
 
 /**
  * Store client that checks the era of each answer. An answer that names none is taken to be of the
@@ -84,10 +83,6 @@
       return false;
     }
     era.observe(answered == NO_ERA ? era.current() : answered, StoreEra.Source.STORE);
-    boolean outdated = answered != NO_ERA && answered < era.current();
-    if (outdated) {
-      Logger.warn("event=store_answer_outdated era={} known={}", answered, era.current());
-    }
-    return outdated;
+    return answered != NO_ERA && answered < era.current();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
@@ -26,6 +26,7 @@
   private final List<Listener> listeners = new ArrayList<>();
   private long current;
   private boolean known;
+  private boolean outdatedLogged;
 
   /** Adds a listener; they run in the order in which they were added. */
   void addListener(Listener listener) {
@@ -40,8 +41,10 @@
   /** Records an era that the store or a peer named; older ones are ignored. */
   void observe(long era, Source source) {
     if (known && era <= current) {
+      reportOutdated(era, source);
       return;
     }
+    outdatedLogged = false;
     final boolean restored = known;
     Logger.info("event=store_era era={} before={} source={}", era, known ? current : "", source);
     known = true;
@@ -50,4 +53,15 @@
       List.copyOf(listeners).forEach(listener -> listener.onNewEra(source));
     }
   }
+
+  /** Logs the first of a series of outdated answers of the store. */
+  private void reportOutdated(long era, Source source) {
+    if (source == Source.STORE) {
+      boolean outdated = era < current;
+      if (outdated && !outdatedLogged) {
+        Logger.warn("event=store_answer_outdated era={} known={}", era, current);
+      }
+      outdatedLogged = outdated;
+    }
+  }
 }
