--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -17,6 +17,9 @@
 final class Declarations {
   // A peer that misses more versions than this is sent the whole declaration.
   private static final int KEPT_VERSIONS = 4;
+  private static final long UNKNOWN_VERSION = Declaration.NONE.version() - 1;
+  // Twice the longest validity of a proof: by then, peers that were cut off have been heard.
+  private static final long RESTORE_NANOS = 10_000_000_000L;
 
   private final EventLoop loop;
   private long keyValidityNanos;
@@ -25,6 +28,11 @@
   private long confirmedNanos;
   private boolean confirmed;
   private boolean unreadable;
+  private boolean restored;
+  private long restoredNanos;
+  private boolean olderShownLogged;
+  private long shownVersion;
+  private long newestKnownVersion;
 
   /**
    * Creates an instance without a declaration.
@@ -70,6 +78,7 @@
         declaration.organisations().size());
     logChangedLimits(declaration);
     current = declaration;
+    onKnownVersion(declaration.version());
     storedByVersion.put(declaration.version(), value);
     if (storedByVersion.size() > KEPT_VERSIONS) {
       storedByVersion.remove(storedByVersion.keySet().iterator().next());
@@ -104,6 +113,54 @@
     return unreadable;
   }
 
+  /** Records that a peer or the store holds a declaration of {@code version}. */
+  void onKnownVersion(long version) {
+    newestKnownVersion = Math.max(newestKnownVersion, version);
+  }
+
+  /** Records the version that the store holds. */
+  void onStoreVersion(long version) {
+    shownVersion = version;
+    onKnownVersion(version);
+    if (restored && shownVersion >= newestKnownVersion) {
+      unreadable = false;
+    }
+  }
+
+  /** Handles that the store was restored from an older copy. */
+  void onNewEra() {
+    restored = true;
+    restoredNanos = loop.nowNanos();
+    olderShownLogged = false;
+    shownVersion = UNKNOWN_VERSION;
+  }
+
+  /** Records that this instance no longer sees itself what the store holds. */
+  void onStoreUnwatched() {
+    shownVersion = UNKNOWN_VERSION;
+  }
+
+  /** Returns whether the version that the store holds since its last restore is not known yet. */
+  boolean needsStoreVersion() {
+    return restored && shownVersion == UNKNOWN_VERSION;
+  }
+
+  /**
+   * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
+   * in force. Since a restore, that proves nothing as long as the store holds an older one than the
+   * newest known: what the operator wrote since the copy is still missing there.
+   */
+  void confirmByStoreAt(long requestNanos) {
+    if (!restored || shownVersion >= newestKnownVersion) {
+      confirmCurrentAt(requestNanos);
+      restored &= loop.nowNanos() - restoredNanos < RESTORE_NANOS;
+    } else if (!olderShownLogged) {
+      olderShownLogged = true;
+      Logger.warn(
+          "event=declaration_older_in_store version={} known={}", shownVersion, newestKnownVersion);
+    }
+  }
+
   /**
    * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
    * in force.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -1,7 +1,9 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.placement.HomePlan;
+import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.relay.RelayRanking;
+import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Item;
@@ -26,7 +28,8 @@
  * if there are any.
  *
  * <p>Invariant: one registration is current; only its lease is renewed, and the lease of an earlier
- * one is revoked. Thread safety: confined to the loop's thread.
+ * one is revoked, unless it is of an earlier era of the store: its id may be another's now. Thread
+ * safety: confined to the loop's thread.
  */
 final class FleetMembership {
   private static final String KEY_PREFIX = "fleet/";
@@ -35,7 +38,11 @@
   static final long LEASE_TTL_MS = 6_000;
   private static final long LEASE_RENEWAL_MS = 2_500;
   private static final long RETRY_MS = 400;
+  // Two more attempts fit into the lease after a renewal that failed.
+  private static final long RENEWAL_RETRY_MS = 1_000;
   private static final long MAX_RETRY_MS = 1_600;
+  // Spreads the registrations of a fleet after a restore of the store.
+  private static final long REJOIN_SPREAD_MS = 800;
 
   private final EventLoop loop;
   private final KeyValueStore store;
@@ -46,7 +53,7 @@
   private long lease;
   private long registration;
   private boolean registered;
-  private long ownEntryRevision;
+  private StorePosition ownEntryPosition = StorePosition.NONE;
   private long retryMs = RETRY_MS;
   private List<String> relayCandidates = List.of();
   private long rankedChangeCount = -1;
@@ -127,9 +134,27 @@
     return Math.max(1, members.size());
   }
 
-  void apply(Item item) {
-    String name = item.key().substring(KEY_PREFIX.length());
-    if (name.equals(instance) && item.revision() < ownEntryRevision) {
+  /** Returns the id of the member whose entry has {@code key}. */
+  String memberId(String key) {
+    return key.substring(KEY_PREFIX.length());
+  }
+
+  /** Returns the keys of the entries of all members. */
+  List<String> keys() {
+    return members.keySet().stream().map(name -> KEY_PREFIX + name).toList();
+  }
+
+  /** Removes the member whose entry has {@code key}. */
+  void remove(String key) {
+    if (members.remove(memberId(key)) != null) {
+      changeCount++;
+      Logger.info("event=fleet_changed size={} instance={}", members.size(), memberId(key));
+    }
+  }
+
+  void apply(Item item, StorePosition position) {
+    String name = memberId(item.key());
+    if (name.equals(instance) && ownEntryPosition.isAfter(position)) {
       // An event about the entry of an earlier run, or of a lease that has been replaced.
       return;
     }
@@ -219,6 +244,27 @@
     grantLease(current);
   }
 
+  /**
+   * Registers this instance again after the store was restored from an older copy in {@code era}.
+   */
+  void onNewEra(long era) {
+    if (left || registration == 0) {
+      return;
+    }
+    final long current = ++registration;
+    registered = false;
+    lease = KeyValueStore.NO_LEASE;
+    retryMs = RETRY_MS;
+    double turn = Rendezvous.unitHash(instance, "era " + era);
+    loop.after(
+        (long) (turn * REJOIN_SPREAD_MS),
+        () -> {
+          if (isCurrent(current)) {
+            join();
+          }
+        });
+  }
+
   /** Sets this instance's entry, and writes it again under the same lease if it differs. */
   void setOwnEntry(FleetEntry entry) {
     FleetEntry newer = own.leaving() ? entry.asLeaving() : entry;
@@ -242,7 +288,7 @@
         entryWrite(),
         result -> {
           if (result.status() == Status.OK) {
-            ownEntryRevision = result.value();
+            ownEntryPosition = new StorePosition(result.era(), result.value());
             rewriteIfChanged(number, written);
           } else if (result.status() != Status.NOT_FOUND) {
             loop.after(nextRetryMs(), () -> rewriteEntry(number));
@@ -299,7 +345,10 @@
     if (result.status() == Status.OK) {
       registered = true;
       retryMs = RETRY_MS;
-      ownEntryRevision = result.value();
+      if (ownEntryPosition.isAfter(StorePosition.NONE) && result.era() > ownEntryPosition.era()) {
+        Logger.info("event=written_again key={}{} era={}", KEY_PREFIX, instance, result.era());
+      }
+      ownEntryPosition = new StorePosition(result.era(), result.value());
       loop.after(LEASE_RENEWAL_MS, () -> renewLease(number));
       rewriteIfChanged(number, written);
     } else if (result.status() == Status.NOT_FOUND) {
@@ -333,7 +382,7 @@
             rejoin(number);
           } else {
             boolean renewed = result.status() == Status.OK;
-            retryMs = renewed ? RETRY_MS : retryMs;
+            retryMs = renewed ? RETRY_MS : Math.max(RENEWAL_RETRY_MS, retryMs);
             loop.after(renewed ? LEASE_RENEWAL_MS : nextRetryMs(), () -> renewLease(number));
           }
         });
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -60,6 +60,7 @@
   private final Declarations declarations;
   private final FleetMembership fleet;
   private final TargetPools pools;
+  private final Directory directory;
   private final StoreSync sync;
   private final RelayService relay;
   private final PrimaryProber prober;
@@ -70,6 +71,7 @@
   private final PromotionClient promotionClient;
   private final CommitConfirmations confirmations;
   private final Metrics metrics = new Metrics();
+  private final StoreEra era = new StoreEra();
   private final GatewayContext context;
   private Runnable onStopped = () -> {};
   private final List<TcpListener> listeners = new ArrayList<>();
@@ -86,12 +88,14 @@
     this.settings = settings;
     this.platform = platform;
     declarations = new Declarations(loop, usableKeyValidityMs(settings));
-    store = new CountingStore(platform.store(loop, settings.storeAddress()), metrics);
+    store =
+        new EraCheckedStore(
+            new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
     homes = new HomeRouter(loop, declarations, fleet, settings.id());
     pools = new TargetPools(loop, platform.targetCodec(), homes);
-    Directory directory = new Directory(this::onTargetRemoved);
+    directory = new Directory(this::onTargetRemoved);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
@@ -105,7 +109,8 @@
             directory,
             pools,
             prober,
-            homes);
+            homes,
+            era);
     homes.start(peers);
     limits = new OrganisationRateLimiter(loop, declarations, fleet, peers, homes, settings.id());
     promotions =
@@ -120,9 +125,13 @@
             peers,
             homes,
             settings.id());
-    StoreContents contents = new StoreContents(loop, platform, declarations, directory, fleet);
+    StoreContents contents =
+        new StoreContents(loop, platform, declarations, directory, fleet, peers::isUp);
     relay = new RelayService(exchange, declarations, contents::items);
-    sync = new StoreSync(loop, store, contents, declarations, fleet, peers, relay, settings.id());
+    sync =
+        new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
+    era.addListener(source -> fleet.onNewEra(era.current()));
+    era.addListener(source -> promotions.onNewEra());
     confirmations = new CommitConfirmations(loop, pools, settings.acknowledgement().policy());
     context =
         new GatewayContext(
@@ -186,6 +195,8 @@
   }
 
   private void registerGauges() {
+    metrics.registerGauge("store_era", "Newest era of the store that is known", era::current);
+    metrics.registerGauge("targets", "Registered targets", () -> directory.entries().size());
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
