--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -156,7 +156,7 @@
       if (pendingCallback == null) {
         return;
       }
-      Consumer<HttpResult> onResult = pendingCallback;
+      final Consumer<HttpResult> onResult = pendingCallback;
       pendingCallback = null;
       busy.remove(this);
       timer.cancel();
