--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -3,7 +3,6 @@
 import io.hickorydrift.core.commit.Acknowledgement;
 import io.hickorydrift.proxy.settings.IniFile;
 import io.hickorydrift.proxy.settings.SettingsException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -38,12 +37,11 @@
     this.sections = sections;
   }
 
-  /** Reads {@code file}; throws {@link SettingsException} if any setting is invalid. */
-  public static GatewaySettings read(Path file) {
-    return new GatewaySettingsReader(file.toString(), IniFile.read(file)).read();
-  }
-
-  /** Parses {@code text}; {@code name} identifies it in error messages. */
+  /**
+   * Parses {@code text}; throws {@link SettingsException} if any setting is invalid.
+   *
+   * @param name identifies the text in error messages
+   */
   public static GatewaySettings parse(String name, String text) {
     return new GatewaySettingsReader(name, IniFile.parse(name, text)).read();
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/FleetMembershipTest.java
@@ -91,7 +91,7 @@
   }
 
   @Test
-  void entryThatADelayedWriteReplacedIsWrittenAgain() {
+  void entryReplacedByDelayedWriteIsWrittenAgain() {
     fleet.setOwnEntry(new FleetEntry("127.0.0.1:9", 2, "z"));
     store.calls.clear();
     applyEntry("gw-0", "127.0.0.1:9 2 z", 1_001);
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/EventLoopTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/EventLoopTest.java
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void errorWhileAChannelIsFlushedDoesNotEndTheLoop() throws IOException {
+  void errorDuringFlushOfChannelDoesNotEndTheLoop() throws IOException {
     try (ServerSocket neverReads = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       String address = "127.0.0.1:" + neverReads.getLocalPort();
       ChannelHandler failing =
@@ -71,7 +71,7 @@
   }
 
   @Test
-  void errorInAPauseListenerDoesNotSkipTheOthers() throws IOException {
+  void errorInPauseListenerDoesNotSkipTheOthers() throws IOException {
     loop.clock()
         .onClockPause(
             () -> {
