Do not take the first era of the store for a restore after a peer without one

Found by reading the merged code: a peer that has had no answer of the store yet names era 0 in its heartbeat. EraCheckedStoreTest.peerThatKnowsNoEra...: red before, green now with StoreEraTest and GatewayStoreCallsTest. A store without the header is not affected.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreEra.java
@@ -23,8 +23,10 @@
     void onNewEra(Source source);
   }
 
+  private static final long NONE = 0;
+
   private final List<Listener> listeners = new ArrayList<>();
-  private long current;
+  private long current = NONE;
   private boolean known;
   private boolean outdatedLogged;
 
@@ -38,8 +40,14 @@
     return current;
   }
 
-  /** Records an era that the store or a peer named; older ones are ignored. */
+  /**
+   * Records an era that the store or a peer named; older ones are ignored. A peer that has had no
+   * answer of the store yet names {@link #NONE}, which says nothing.
+   */
   void observe(long era, Source source) {
+    if (source == Source.PEER && era == NONE) {
+      return;
+    }
     if (known && era <= current) {
       reportOutdated(era, source);
       return;
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/EraCheckedStoreTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/EraCheckedStoreTest.java
@@ -41,6 +41,13 @@
     assertThat(events).containsExactly("answer");
   }
 
+  @Test
+  void peerThatKnowsNoEraDoesNotMakeTheFirstOneRestore() {
+    era.observe(0, StoreEra.Source.PEER);
+    answer(7);
+    assertThat(events).containsExactly("answer");
+  }
+
   @Test
   void listenersRunBeforeTheAnswerThatNamesNewEra() {
     answer(7);
