Install the signal handlers before the command line is set up

Part of that time is ours: loading all commands and the log. The handlers of gateway and serve are installed first in main now, and the commands are created after that. What remains is the time of the virtual machine itself before main, for which no program can have a handler.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Entry point of the command line.
@@ -13,27 +14,35 @@
  * <p>Thread safety: stateless.
  */
 public final class Main {
-  private static final List<Command> COMMANDS =
-      List.of(
-          new ServeCommand(),
-          new GatewayCommand(),
-          new CheckCommand(),
-          new DiffCommand(),
-          new ApplyCommand(),
-          new ExportCommand(),
-          new StatusCommand(),
-          new KeysCommand(),
-          new DemoCommand(),
-          new MeasureCommand(),
-          new StandinCommand(),
-          new SoakCommand(),
-          new WhyCommand(),
-          new VersionCommand());
+  // Commands that run an instance, which handles signals.
+  private static final Set<String> INSTANCE_COMMANDS = Set.of("serve", "gateway");
 
   private Main() {}
 
+  private static List<Command> commands() {
+    return List.of(
+        new ServeCommand(),
+        new GatewayCommand(),
+        new CheckCommand(),
+        new DiffCommand(),
+        new ApplyCommand(),
+        new ExportCommand(),
+        new StatusCommand(),
+        new KeysCommand(),
+        new DemoCommand(),
+        new MeasureCommand(),
+        new StandinCommand(),
+        new SoakCommand(),
+        new WhyCommand(),
+        new VersionCommand());
+  }
+
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) {
+    if (arguments.length > 0 && INSTANCE_COMMANDS.contains(arguments[0])) {
+      // First of all, since a signal without a handler ends the process.
+      ProcessSignals.install();
+    }
     LogOutput logOutput = LogOutput.install();
     ExitLog exitLog = ExitLog.install(logOutput);
     int code;
@@ -54,7 +63,7 @@
       help(arguments.isEmpty() ? err : out);
       return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.OK;
     }
-    for (Command command : COMMANDS) {
+    for (Command command : commands()) {
       if (command.name().equals(arguments.get(0))) {
         return run(command, arguments.subList(1, arguments.size()), out, err);
       }
@@ -96,7 +105,7 @@
 
   private static void help(PrintStream out) {
     out.println("usage: hickorydrift COMMAND [OPTIONS]; COMMAND --help shows its options");
-    for (Command command : COMMANDS) {
+    for (Command command : commands()) {
       out.printf("  %-9s %s%n", command.name(), command.summary());
     }
     out.println("exit codes: 0 success, 1 failed, 2 usage or settings, 3 conflict, 4 unknown");
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/ProcessSignals.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/ProcessSignals.java
@@ -8,7 +8,7 @@
 /**
  * Receives the signals of an instance's process: SIGTERM and SIGINT request a stop, SIGHUP reports
  * that the settings file has changed. The virtual machine ends the process on a signal that has no
- * handler, so the handlers are installed before a command does anything else.
+ * handler, so the handlers are installed before anything else.
  *
  * <p>Invariant: each signal is passed on exactly once; those that arrive before a listener is
  * attached are passed on when it is. Thread safety: safe.
@@ -26,15 +26,21 @@
     void onSettingsChanged();
   }
 
+  private static ProcessSignals installed;
+
   private final List<String> undelivered = new ArrayList<>();
   private Listener listener;
 
-  /** Installs the handlers. */
-  static ProcessSignals install() {
-    ProcessSignals signals = new ProcessSignals();
-    STOP.forEach(signals::handle);
-    signals.handle(SETTINGS_CHANGED);
-    return signals;
+  private ProcessSignals() {}
+
+  /** Installs the handlers, unless that has been done, and returns them. */
+  static synchronized ProcessSignals install() {
+    if (installed == null) {
+      installed = new ProcessSignals();
+      STOP.forEach(installed::handle);
+      installed.handle(SETTINGS_CHANGED);
+    }
+    return installed;
   }
 
   private void handle(String name) {
