--- a/proxy/src/test/java/io/hickorydrift/proxy/process/ChildProcess.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/process/ChildProcess.java
@@ -28,6 +28,8 @@
   ChildProcess(ProcessBuilder.Redirect log, String lastKey, String... arguments)
       throws IOException {
     List<String> command = new ArrayList<>();
+    // A process inherits which signals are ignored, for instance SIGHUP from a parent under nohup.
+    command.addAll(List.of("env", "--default-signal=HUP,INT"));
     command.add(System.getProperty("java.home") + "/bin/java");
     command.addAll(List.of("-Xmx256m", "-cp", System.getProperty("java.class.path")));
     command.add(Main.class.getName());
