--- a/core/src/main/java/io/hickorydrift/core/declaration/Route.java
+++ b/core/src/main/java/io/hickorydrift/core/declaration/Route.java
@@ -1,5 +1,7 @@
 package io.hickorydrift.core.declaration;
 
+import java.util.Set;
+
 /**
  * Settings for the statements on one database.
  *
@@ -14,6 +16,7 @@
  * @param stalenessBoundMs maximum staleness of the data that its reads see; 0 on routes to the
  *     primary
  * @param allowsAnonymous whether callers without a valid key are admitted
+ * @param allowedRegions regions whose targets may run its statements; empty if all may
  */
 public record Route(
     String database,
@@ -23,4 +26,5 @@
     long objectiveMs,
     int priority,
     long stalenessBoundMs,
-    boolean allowsAnonymous) {}
+    boolean allowsAnonymous,
+    Set<String> allowedRegions) {}
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
@@ -15,6 +15,8 @@
  * @param startedAtMs time of its start, in milliseconds since 1970; distinguishes restarts under
  *     one id
  * @param sequence number of the entry, which rises with each write of the target since its start
+ * @param coldRemainingMs how much longer the target stays slow after its start, as of the writing
+ *     of the entry; 0 if it is not
  */
 public record TargetEntry(
     String id,
@@ -25,7 +27,22 @@
     boolean draining,
     boolean primary,
     long startedAtMs,
-    long sequence) {
+    long sequence,
+    long coldRemainingMs) {
+  /** Creates the entry of a target that is not slow after its start. */
+  public TargetEntry(
+      String id,
+      String group,
+      String address,
+      String failureDomain,
+      int slots,
+      boolean draining,
+      boolean primary,
+      long startedAtMs,
+      long sequence) {
+    this(id, group, address, failureDomain, slots, draining, primary, startedAtMs, sequence, 0);
+  }
+
   /** Returns whether the target wrote this entry before {@code other}. */
   public boolean isOlderThan(TargetEntry other) {
     return startedAtMs < other.startedAtMs
@@ -39,6 +56,15 @@
 
   private TargetEntry withSequence(long newSequence) {
     return new TargetEntry(
-        id, group, address, failureDomain, slots, draining, primary, startedAtMs, newSequence);
+        id,
+        group,
+        address,
+        failureDomain,
+        slots,
+        draining,
+        primary,
+        startedAtMs,
+        newSequence,
+        coldRemainingMs);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -65,7 +66,8 @@
             unpacker.unpackLong(),
             unpacker.unpackInt(),
             unpacker.unpackLong(),
-            true);
+            true,
+            Set.of());
     Statement statement =
         new Statement(
             unpacker.unpackString(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.commit.Acknowledgement;
+import io.hickorydrift.core.placement.Regions;
 
 /**
  * Settings of a gateway instance.
@@ -22,6 +23,9 @@
  * @param descriptors number of descriptors that the process may open
  * @param acknowledgement which targets need to have a commit before it is acknowledged to the
  *     caller
+ * @param regions the region of each failure domain
+ * @param evacuationMs time from the acknowledgement of an evacuation until nothing more is sent to
+ *     the targets of its failure domain
  */
 public record GatewaySettings(
     String id,
@@ -37,10 +41,15 @@
     double cores,
     long linkMbps,
     long descriptors,
-    Acknowledgement acknowledgement) {
+    Acknowledgement acknowledgement,
+    Regions regions,
+    long evacuationMs) {
   /** Number of descriptors if it is not limited. */
   public static final long UNLIMITED = Long.MAX_VALUE;
 
+  /** Time in which an evacuation takes effect if the settings do not state it. */
+  public static final long DEFAULT_EVACUATION_MS = 5_000;
+
   // A home carries a group's traffic over its link twice, which an instance with less than this
   // cannot do.
   private static final double MIN_HOME_CORES = 0.6;
@@ -86,7 +95,9 @@
         newer.cores,
         newer.linkMbps,
         newer.descriptors,
-        newer.acknowledgement);
+        newer.acknowledgement,
+        regions,
+        newer.evacuationMs);
   }
 
   /** Returns an empty builder. */
@@ -110,6 +121,8 @@
     private long linkMbps;
     private long descriptors = UNLIMITED;
     private Acknowledgement acknowledgement = Acknowledgement.REPLICA;
+    private Regions regions = Regions.NONE;
+    private long evacuationMs = DEFAULT_EVACUATION_MS;
 
     private Builder() {}
 
@@ -182,6 +195,18 @@
       return this;
     }
 
+    /** Sets the region of each failure domain. */
+    public Builder regions(Regions newRegions) {
+      regions = newRegions;
+      return this;
+    }
+
+    /** Sets the time in which an evacuation takes effect. */
+    public Builder evacuationMs(long ms) {
+      evacuationMs = ms;
+      return this;
+    }
+
     /** Returns the settings. */
     public GatewaySettings build() {
       return new GatewaySettings(
@@ -198,7 +223,9 @@
           cores,
           linkMbps,
           descriptors,
-          acknowledgement);
+          acknowledgement,
+          regions,
+          evacuationMs);
     }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewaySettingsReader.java
@@ -1,9 +1,11 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.commit.Acknowledgement;
+import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.proxy.settings.IniFile;
 import io.hickorydrift.proxy.settings.SettingsException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -25,6 +27,8 @@
   private static final long MIN_DESCRIPTORS = 64;
   // Proofs that keys are current arrive about once a second.
   private static final long MIN_KEY_VALIDITY_MS = 1_500;
+  // An evacuation reaches all instances through the relays of their failure domains first.
+  private static final long MIN_EVACUATION_MS = 1_000;
   // A stop without any grace would abort all requests in flight.
   private static final long MIN_GRACE_MS = 1_000;
 
@@ -62,6 +66,8 @@
                 (long) decimalNumber("capacity", "link_mbps"))
             .descriptors(descriptors())
             .acknowledgement(acknowledgement())
+            .regions(regions())
+            .evacuationMs(evacuationMs())
             .build();
     if (!errors.isEmpty()) {
       throw new SettingsException(errors);
@@ -75,6 +81,20 @@
         : GatewaySettings.UNLIMITED;
   }
 
+  private Regions regions() {
+    Map<String, String> regionByDomain = new HashMap<>();
+    for (String domain : sections.getOrDefault("regions", Map.of()).keySet()) {
+      regionByDomain.put(domain, value("regions", domain, NAME));
+    }
+    return new Regions(regionByDomain);
+  }
+
+  private long evacuationMs() {
+    return sections.getOrDefault("bounds", Map.of()).containsKey("evacuation_ms")
+        ? wholeNumber("bounds", "evacuation_ms", MIN_EVACUATION_MS)
+        : GatewaySettings.DEFAULT_EVACUATION_MS;
+  }
+
   private Acknowledgement acknowledgement() {
     if (!sections.getOrDefault("commits", Map.of()).containsKey("acknowledged_by")) {
       return Acknowledgement.REPLICA;
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/PlatformAdapter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/PlatformAdapter.java
@@ -27,6 +27,12 @@
   /** Returns the store key prefix of the target entries. */
   String targetsPrefix();
 
+  /**
+   * Returns the store key prefix of the evacuations; the rest of a key is the failure domain that
+   * is evacuated.
+   */
+  String evacuationsPrefix();
+
   /** Returns the path of the load balancer's readiness probe. */
   String readinessPath();
 
