Confirm commits at the nearest replica without opening connections

Cause: each commit waits for a replica's report. It was requested on a connection of the writer's organisation, which often had to be opened first, and from replicas in turn, whatever their distance.

Where distance matters to a group (several regions, or a route of the highest priority), the nearest replica is polled first on any idle connection, and the next one as well if the first is in another region or takes longer than 4 ms. Other groups are polled as before.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.commit.AcknowledgementPolicy;
+import io.hickorydrift.core.commit.ReplicaOrder;
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
@@ -11,18 +12,27 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Holds commits back until the acknowledgement policy is satisfied. Each group's replicas are
- * polled round-robin, one at a time; one report serves all pending commits of the group.
+ * polled round-robin, one at a time; one report serves all pending commits of the group. Where
+ * distance matters to a group, the nearest replica is polled first, and the next one as well if the
+ * first is far or slow to report.
  *
  * <p>Invariant: each commit is settled exactly once, at its deadline at the latest. Thread safety:
  * confined to the loop's thread.
  */
 final class CommitConfirmations {
+  private static final int HIGHEST_PRIORITY = 0;
   // A replica receives a commit within a round trip between failure domains.
   private static final long POLL_INTERVAL_MS = 4;
   private static final long REPORT_TIMEOUT_NANOS = 100_000_000L;
+  // A report takes a round trip between failure domains and a short time in a slot; one that takes
+  // longer waits behind statements.
+  private static final long HEDGE_DELAY_MS = 4;
+  // The report may overtake the commit on its way to the replica, which takes about a millisecond.
+  private static final long REPEAT_DELAY_MS = 2;
 
   private record PendingCommit(
       String organisation, Position commit, long deadlineNanos, Consumer<Boolean> onSettled) {}
@@ -30,18 +40,48 @@
   private static final class GroupQueue {
     private final List<PendingCommit> pending = new ArrayList<>();
     private boolean polling;
+    private PollRound round;
     private int nextReplica;
   }
 
+  /** One round of polling the replicas of a group, the nearest first. */
+  private static final class PollRound {
+    private final List<TargetState> replicas;
+    private int next;
+    private int outstanding;
+
+    private PollRound(List<TargetState> replicas) {
+      this.replicas = replicas;
+    }
+
+    private boolean hasNext() {
+      return next < replicas.size();
+    }
+  }
+
   private final EventLoop loop;
   private final TargetPools pools;
+  private final ReplicaOrder order;
+  private final Predicate<String> usesLocality;
   private AcknowledgementPolicy policy;
   private final Map<String, GroupQueue> queues = new HashMap<>();
 
-  CommitConfirmations(EventLoop loop, TargetPools pools, AcknowledgementPolicy policy) {
+  /**
+   * Creates an instance without pending commits.
+   *
+   * @param usesLocality whether distance matters to the statements of a group
+   */
+  CommitConfirmations(
+      EventLoop loop,
+      TargetPools pools,
+      AcknowledgementPolicy policy,
+      ReplicaOrder order,
+      Predicate<String> usesLocality) {
     this.loop = loop;
     this.pools = pools;
     this.policy = policy;
+    this.order = order;
+    this.usesLocality = usesLocality;
   }
 
   /** Sets the policy for all pending and further commits. */
@@ -81,32 +121,96 @@
       pollLater(group, queue);
       return;
     }
+    if (usesLocality.test(group.name())) {
+      queue.round = new PollRound(order.nearestFirst(replicas));
+      pollNext(group, queue, queue.round);
+      return;
+    }
     TargetState replica = replicas.get(queue.nextReplica++ % replicas.size());
-    TargetPool pool = pools.poolFor(replica);
+    String organisation = queue.pending.get(0).organisation;
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
-    pool.acquire(
-        queue.pending.get(0).organisation,
-        0,
-        deadlineNanos,
-        new TargetPool.AcquireListener() {
-          @Override
-          public void acquired(TargetConnection connection) {
-            pools.requestReport(
-                connection,
-                deadlineNanos,
-                report -> {
-                  if (report != null) {
-                    replica.recordReceived(report.received());
-                  }
-                  pollLater(group, queue);
-                });
-          }
-
-          @Override
-          public void refused(String reason) {
-            pollLater(group, queue);
-          }
-        });
+    pools
+        .poolFor(replica)
+        .acquire(
+            organisation,
+            HIGHEST_PRIORITY,
+            deadlineNanos,
+            reportRequest(replica, deadlineNanos, () -> pollLater(group, queue)));
+  }
+
+  /** Requests the report of {@code replica} and records it; calls {@code onDone} in any case. */
+  private TargetPool.AcquireListener reportRequest(
+      TargetState replica, long deadlineNanos, Runnable onDone) {
+    return new TargetPool.AcquireListener() {
+      @Override
+      public void acquired(TargetConnection connection) {
+        pools.requestReport(
+            connection,
+            deadlineNanos,
+            report -> {
+              if (report != null) {
+                replica.recordReceived(report.received());
+              }
+              onDone.run();
+            });
+      }
+
+      @Override
+      public void refused(String reason) {
+        onDone.run();
+      }
+    };
+  }
+
+  /** Polls the next replica of the round, and the one after it if this one is far or slow. */
+  private void pollNext(GroupState group, GroupQueue queue, PollRound round) {
+    TargetState replica = round.replicas.get(round.next++);
+    round.outstanding++;
+    long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
+    TargetPool.AcquireListener request =
+        reportRequest(replica, deadlineNanos, () -> reportArrived(group, queue, round));
+    String organisation = queue.pending.get(0).organisation;
+    // A connection of the organisation may have to be opened first, which takes as long as several
+    // statements; the report is the same on any connection.
+    TargetPool pool = pools.poolFor(replica);
+    TargetConnection idle = pool.pollIdle(organisation);
+    if (idle != null) {
+      request.acquired(idle);
+    } else {
+      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, request);
+    }
+    if (!round.hasNext() || queue.round != round || queue.pending.isEmpty()) {
+      return;
+    }
+    if (order.isInOtherRegion(replica)) {
+      pollNext(group, queue, round);
+    } else {
+      loop.after(HEDGE_DELAY_MS, () -> hedge(group, queue, round));
+    }
+  }
+
+  private void hedge(GroupState group, GroupQueue queue, PollRound round) {
+    boolean slow = round.outstanding > 0 && round.hasNext();
+    if (slow && queue.round == round && !queue.pending.isEmpty()) {
+      pollNext(group, queue, round);
+    }
+  }
+
+  private void reportArrived(GroupState group, GroupQueue queue, PollRound round) {
+    round.outstanding--;
+    settle(group, queue);
+    if (queue.round != round) {
+      return;
+    }
+    if (queue.pending.isEmpty()) {
+      queue.round = null;
+      queue.polling = false;
+    } else if (round.outstanding == 0 && round.hasNext()) {
+      pollNext(group, queue, round);
+    } else if (round.outstanding == 0) {
+      queue.round = null;
+      loop.after(REPEAT_DELAY_MS, () -> poll(group, queue));
+    }
   }
 
   private void pollLater(GroupState group, GroupQueue queue) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -2,9 +2,11 @@
 
 import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.DeclaredOrganisation;
+import io.hickorydrift.core.declaration.UrgentGroups;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -24,6 +26,7 @@
   private final EventLoop loop;
   private long keyValidityNanos;
   private Declaration current = Declaration.NONE;
+  private Set<String> urgentGroups = Set.of();
   private final Map<Long, byte[]> storedByVersion = new LinkedHashMap<>();
   private long confirmedNanos;
   private boolean confirmed;
@@ -55,6 +58,11 @@
     return current;
   }
 
+  /** Returns whether {@code group} has urgent work. */
+  boolean isUrgent(String group) {
+    return urgentGroups.contains(group);
+  }
+
   /** Returns the stored bytes of the declaration in force, or null if there is none. */
   byte[] storedValue() {
     return storedByVersion.get(current.version());
@@ -78,6 +86,7 @@
         declaration.organisations().size());
     logChangedLimits(declaration);
     current = declaration;
+    urgentGroups = UrgentGroups.of(declaration);
     onKnownVersion(declaration.version());
     storedByVersion.put(declaration.version(), value);
     if (storedByVersion.size() > KEPT_VERSIONS) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.commit.ReplicaOrder;
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
@@ -93,7 +94,7 @@
             new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
-    homes = new HomeRouter(loop, declarations, fleet, settings.id());
+    homes = new HomeRouter(loop, declarations, fleet, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes);
     directory = new Directory(this::onTargetRemoved);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
@@ -132,7 +133,13 @@
         new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
     era.addListener(source -> fleet.onNewEra(era.current()));
     era.addListener(source -> promotions.onNewEra());
-    confirmations = new CommitConfirmations(loop, pools, settings.acknowledgement().policy());
+    confirmations =
+        new CommitConfirmations(
+            loop,
+            pools,
+            settings.acknowledgement().policy(),
+            new ReplicaOrder(settings.failureDomain(), settings.regions()),
+            homes::usesLocality);
     context =
         new GatewayContext(
             loop,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.placement.HomePlan;
+import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -29,17 +30,24 @@
   private final Declarations declarations;
   private final FleetMembership fleet;
   private final String self;
+  private final Regions regions;
   private final long startNanos;
   private final Map<String, Long> lastServedNanos = new HashMap<>();
   private Peers peers;
   private HomePlan plan;
   private long planChangeCount = -1;
 
-  HomeRouter(EventLoop loop, Declarations declarations, FleetMembership fleet, String self) {
+  HomeRouter(
+      EventLoop loop,
+      Declarations declarations,
+      FleetMembership fleet,
+      String self,
+      Regions regions) {
     this.loop = loop;
     this.declarations = declarations;
     this.fleet = fleet;
     this.self = self;
+    this.regions = regions;
     startNanos = loop.nowNanos();
   }
 
@@ -65,6 +73,14 @@
     return plan().isDirect(maxConnections(group));
   }
 
+  /**
+   * Returns whether distance matters to the statements of {@code group}: they may cross regions, or
+   * some of them are urgent.
+   */
+  boolean usesLocality(String group) {
+    return regions.isMultiRegion() || declarations.isUrgent(group);
+  }
+
   /** Returns whether every instance runs the statements of all groups itself. */
   boolean allGroupsDirect() {
     for (String group : declarations.current().groups().keySet()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -112,6 +112,15 @@
     return idle.pollLast();
   }
 
+  /**
+   * Removes and returns an idle connection, if there is one of {@code organisation} that one, or
+   * returns null without waiting.
+   */
+  TargetConnection pollIdle(String organisation) {
+    TargetConnection own = takeIdle(organisation);
+    return own == null ? pollIdle() : own;
+  }
+
   /**
    * Requests a connection of {@code organisation}; requests of higher priority are served first.
    */
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
 import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.bench.FreePorts;
@@ -27,7 +28,7 @@
   private final Declarations declarations = new Declarations(loop, 5_000);
   private final FleetMembership fleet =
       new FleetMembership(loop, store, "gw-0", new FleetEntry("127.0.0.1:9", 1, "z"));
-  private final HomeRouter homes = new HomeRouter(loop, declarations, fleet, "gw-0");
+  private final HomeRouter homes = new HomeRouter(loop, declarations, fleet, "gw-0", Regions.NONE);
   // No target listens at its address, so that nothing is encoded.
   private final TargetPools pools = new TargetPools(loop, null, homes);
 
