--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -368,7 +368,7 @@
     if (outcome.failure() != null) {
       context
           .requestLog()
-          .logFailure(statement, outcome, context.loop().nowNanos() - receivedNanos);
+          .logFailure(statement, owner(), outcome, context.loop().nowNanos() - receivedNanos);
     }
     if (outcome.state() != SessionState.IN_TRANSACTION) {
       rollBackTransaction();
@@ -404,12 +404,15 @@
     closeAfterAnswer = true;
   }
 
+  private String owner() {
+    return context.declarations().current().keyOwners().getOrDefault(credential, "none");
+  }
+
   private void recordMetrics(StatementOutcome outcome) {
-    String owner = context.declarations().current().keyOwners().get(credential);
     context
         .metrics()
         .recordRequest(
-            owner == null ? "none" : owner,
+            owner(),
             database,
             outcome.failure() == null ? "OK" : outcome.failure().name(),
             answeredNanos - receivedNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
@@ -60,11 +60,13 @@
         declarations.proofAgeMs());
   }
 
-  /** Logs a request that failed after {@code elapsedNanos}. */
-  void logFailure(Statement statement, StatementOutcome outcome, long elapsedNanos) {
+  /** Logs a request of {@code organisation} that failed after {@code elapsedNanos}. */
+  void logFailure(
+      Statement statement, String organisation, StatementOutcome outcome, long elapsedNanos) {
     logDecision(
         statement.id(),
-        "decision=failed kind={} code={} reason=\"{}\" after_ms={}",
+        "decision=failed organisation={} kind={} code={} reason=\"{}\" after_ms={}",
+        organisation,
         statement.kind(),
         outcome.failure(),
         outcome.reason(),
