Keep restricted statements in their allowed regions

Cause: a route or an organisation may declare allowedRegions, but statements went to any target and their text to any home.

AllowedRegions is the intersection of both sets, taken from the declaration in force at each statement, also inside a transaction. The entry instance passes over homes that may not see the text, the forwarded message carries the regions as its last field, and the search for a target skips targets of other regions. Without a usable target in them, the statement is refused at once with the reason. Unknown regions are logged once.

Ruled out: refusing whenever the home is in another region, because the entry instance can run the statement itself; sending names instead of regions, because the home may know an older declaration.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -32,23 +32,25 @@
 
   /**
    * Returns the target with the lowest cost, that is, the least expected wait, or null if there is
-   * none. Skips draining and ruled out targets and those in {@code tried}. The target itself checks
-   * that it has applied {@code atLeast}; {@code hasIdleConnection} tests whether a target has an
-   * idle connection of {@code organisation}.
+   * none. Skips draining and ruled out targets, those in {@code tried}, and those that {@code
+   * mayRun} rejects. The target itself checks that it has applied {@code atLeast}; {@code
+   * hasIdleConnection} tests whether a target has an idle connection of {@code organisation}.
    */
   public TargetState choose(
       GroupState group,
       String organisation,
       Position atLeast,
       Set<String> tried,
+      Predicate<TargetState> mayRun,
       Predicate<TargetState> hasIdleConnection,
       long nowNanos) {
     TargetState primary = group.primary();
-    TargetState preferred = preferredReplica(group, primary, organisation);
+    TargetState preferred = preferredReplica(group, primary, organisation, mayRun);
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetState target : group.targets()) {
-      if (!target.acceptsNewWork() || tried.contains(target.entry().id())) {
+      boolean untried = !tried.contains(target.entry().id());
+      if (!untried || !target.acceptsNewWork() || !mayRun.test(target)) {
         continue;
       }
       double cost = cost(target, target == primary, atLeast, nowNanos);
@@ -64,12 +66,12 @@
 
   /** Returns the replica that {@code organisation} is assigned to by rendezvous hashing. */
   private static TargetState preferredReplica(
-      GroupState group, TargetState primary, String organisation) {
+      GroupState group, TargetState primary, String organisation, Predicate<TargetState> mayRun) {
     TargetState preferred = null;
     double highest = -1;
     for (TargetState target : group.targets()) {
       double hash = Rendezvous.unitHash(organisation, target.entry().id());
-      boolean usable = target != primary && target.acceptsNewWork();
+      boolean usable = target != primary && target.acceptsNewWork() && mayRun.test(target);
       if (usable && hash > highest) {
         preferred = target;
         highest = hash;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -250,13 +250,12 @@
   private void beginAdmitted(Statement statement, AdmissionDecision admission) {
     boolean readOnly = statement.kind() == StatementKind.BEGIN_READ_ONLY;
     Route route = admission.route();
-    String organisation = admission.organisation();
+    OperationScope scope = new OperationScope(route, admission.organisation(), admission.allowed());
+    boolean needsPrimary = SingleStatement.needsPrimary(route, !readOnly);
     transaction =
-        context.homes().remoteLink(route.group(), SingleStatement.needsPrimary(route, !readOnly))
-                == null
-            ? new LocalTransaction(context, route, organisation, data, readOnly, receivedNanos)
-            : new RemoteTransaction(
-                context.loop(), context.homes(), route, organisation, data, readOnly);
+        context.homes().remoteLink(route.group(), needsPrimary, scope.allowed()) == null
+            ? new LocalTransaction(context, scope, data, readOnly, receivedNanos)
+            : new RemoteTransaction(context.loop(), context.homes(), scope, data, readOnly);
     answer(StatementOutcome.done(SessionState.IN_TRANSACTION));
   }
 
@@ -314,7 +313,11 @@
       return;
     }
     running = true;
-    transaction.run(statement, receivedNanos, outcome -> handleOutcome(statement, outcome));
+    transaction.run(
+        statement,
+        admission.allowed(),
+        receivedNanos,
+        outcome -> handleOutcome(statement, outcome));
   }
 
   private void admit(Statement statement, Consumer<AdmissionDecision> onAdmitted) {
@@ -324,7 +327,7 @@
       refuse(statement, admission);
       return;
     }
-    if (!context.homes().countsOperations(admission.route().group())) {
+    if (!context.homes().countsOperations(admission.route().group(), admission.allowed())) {
       // The home counts the operation against the rate limit.
       onAdmitted.accept(admission);
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -25,6 +26,7 @@
 
   private final EventLoop loop;
   private long keyValidityNanos;
+  private Consumer<Declaration> onAccepted = accepted -> {};
   private Declaration current = Declaration.NONE;
   private Set<String> urgentGroups = Set.of();
   private final Map<Long, byte[]> storedByVersion = new LinkedHashMap<>();
@@ -54,6 +56,11 @@
     keyValidityNanos = TimeUnit.MILLISECONDS.toNanos(keyValidityMs);
   }
 
+  /** Sets the receiver of each declaration that comes into force. */
+  void setAcceptedListener(Consumer<Declaration> listener) {
+    onAccepted = listener;
+  }
+
   Declaration current() {
     return current;
   }
@@ -93,6 +100,7 @@
       storedByVersion.remove(storedByVersion.keySet().iterator().next());
     }
     unreadable = false;
+    onAccepted.accept(declaration);
   }
 
   private void logChangedLimits(Declaration newer) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.declaration.Consistency;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.SessionState;
@@ -10,6 +11,7 @@
 import io.hickorydrift.core.statement.StatementKind;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +52,7 @@
     }
     packPosition(packer, forward.lastCommit());
     packer.packBoolean(forward.counted()).packLong(forward.ageMs());
+    packAllowed(packer, forward.allowed());
   }
 
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
@@ -96,7 +99,30 @@
         values,
         unpackPosition(unpacker),
         unpacker.unpackBoolean(),
-        unpacker.unpackLong());
+        unpacker.unpackLong(),
+        unpackAllowed(unpacker));
+  }
+
+  private static void packAllowed(MessagePacker packer, AllowedRegions allowed) throws IOException {
+    packer.packBoolean(allowed.restricted()).packArrayHeader(allowed.regions().size());
+    for (String region : allowed.regions()) {
+      packer.packString(region);
+    }
+  }
+
+  /** Unpacks the allowed regions, the last field, which instances of earlier versions omit. */
+  private static AllowedRegions unpackAllowed(MessageUnpacker unpacker) throws IOException {
+    if (!unpacker.hasNext()) {
+      return AllowedRegions.ALL;
+    }
+    final boolean restricted = unpacker.unpackBoolean();
+    int count =
+        PeerMessageCodec.checkCount(unpacker.unpackArrayHeader(), PeerMessageCodec.MAX_ITEMS);
+    Set<String> regions = new HashSet<>();
+    for (int i = 0; i < count; i++) {
+      regions.add(unpacker.unpackString());
+    }
+    return new AllowedRegions(restricted, regions);
   }
 
   static void packResult(MessagePacker packer, PeerMessage.Result result) throws IOException {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
@@ -82,12 +82,7 @@
     if (forward.transaction() != 0) {
       LocalTransaction transaction =
           new LocalTransaction(
-              context,
-              forward.route(),
-              forward.organisation(),
-              session,
-              forward.readOnly(),
-              receivedNanos);
+              context, OperationScope.of(forward), session, forward.readOnly(), receivedNanos);
       transactions
           .computeIfAbsent(link, key -> new HashMap<>())
           .put(forward.transaction(), transaction);
@@ -95,8 +90,7 @@
     } else if (session.writes(forward.statement())) {
       new WriteExecution(
               context,
-              forward.route(),
-              forward.organisation(),
+              OperationScope.of(forward),
               session,
               forward.statement(),
               receivedNanos,
@@ -105,8 +99,7 @@
     } else {
       new ReadExecution(
               context,
-              forward.route(),
-              forward.organisation(),
+              OperationScope.of(forward),
               session,
               forward.statement(),
               receivedNanos,
@@ -125,6 +118,7 @@
     open.updateSession(session);
     open.run(
         forward.statement(),
+        forward.allowed(),
         receivedNanos,
         outcome -> {
           if (outcome.state() != SessionState.IN_TRANSACTION) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -1,9 +1,11 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.commit.ReplicaOrder;
+import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.placement.UnknownRegions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.ChannelHandler;
@@ -154,12 +156,24 @@
             new RequestLog(loop),
             metrics,
             homes,
-            confirmations);
+            confirmations,
+            settings.regions());
     registerGauges();
+    UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
+    declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
     loop.clock()
         .onClockPause(() -> directory.groups().forEach(group -> group.observedPositions().clear()));
   }
 
+  private static void logUnknownRegions(UnknownRegions unknown, Declaration accepted) {
+    unknown
+        .newIn(accepted)
+        .forEach(
+            region ->
+                Logger.warn(
+                    "event=region_unknown region={} version={}", region, accepted.version()));
+  }
+
   /** Starts the instance; it serves while the event loop runs. */
   public void start() throws IOException {
     Logger.info(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.proxy.metrics.Metrics;
@@ -27,7 +28,8 @@
     RequestLog requestLog,
     Metrics metrics,
     HomeRouter homes,
-    CommitConfirmations confirmations) {
+    CommitConfirmations confirmations,
+    Regions regions) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the connection pool of {@code target}. */
@@ -35,6 +37,11 @@
     return pools.poolFor(target);
   }
 
+  /** Returns the region of {@code target}. */
+  String regionOf(TargetState target) {
+    return regions.regionOf(target.entry().failureDomain());
+  }
+
   /** Records the position in {@code reply}, which the group's primary sent. */
   void recordPrimaryPosition(GroupState group, TargetReply reply) {
     if (reply.position() != null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.placement.HomePlan;
 import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -97,34 +98,46 @@
    *
    * @param needsPrimary whether only the primary can run the statement; if this instance cannot
    *     reach the primary, the statement goes to a peer that can
+   * @param allowed regions that may run the statement; instances that may not see its text are
+   *     passed over
    */
-  OutboundPeerLink remoteLink(String group, boolean needsPrimary) {
+  OutboundPeerLink remoteLink(String group, boolean needsPrimary, AllowedRegions allowed) {
     if (isDirect(group)) {
-      return needsPrimary ? peers.forwardingLink(group) : null;
+      OutboundPeerLink link = needsPrimary ? peers.forwardingLink(group) : null;
+      return link != null && maySeeText(link.peer(), allowed) ? link : null;
     }
     for (String id : plan().rankedInstances(group)) {
       if (id.equals(self)) {
         return null;
       }
       OutboundPeerLink link = peers.link(id);
-      if (link != null && link.isUp()) {
+      if (link != null && link.isUp() && maySeeText(id, allowed)) {
         return link;
       }
     }
     return null;
   }
 
+  /** Returns whether the text of a statement that {@code allowed} restricts may go to the peer. */
+  boolean maySeeText(String peer, AllowedRegions allowed) {
+    if (!allowed.restricted()) {
+      return true;
+    }
+    String entryRegion = regions.regionOf(fleet.failureDomainOf(self));
+    return allowed.allowsText(regions.regionOf(fleet.failureDomainOf(peer)), entryRegion);
+  }
+
   /** Returns whether this instance is the home of {@code group}. */
   boolean isHome(String group) {
     return !isDirect(group) && plan().rankedInstances(group).get(0).equals(self);
   }
 
   /**
-   * Returns whether this instance counts the operations on {@code group} that it receives against
-   * the rate limits.
+   * Returns whether this instance counts the operations on {@code group} that it receives, and that
+   * {@code allowed} may run, against the rate limits.
    */
-  boolean countsOperations(String group) {
-    return isDirect(group) || remoteLink(group, false) == null;
+  boolean countsOperations(String group, AllowedRegions allowed) {
+    return isDirect(group) || remoteLink(group, false, allowed) == null;
   }
 
   /** Returns whether {@code peer} may run statements of {@code group}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
@@ -39,14 +40,13 @@
 
   LocalTransaction(
       GatewayContext context,
-      Route route,
-      String organisation,
+      OperationScope scope,
       SessionData session,
       boolean readOnly,
       long begunNanos) {
     this.context = context;
-    this.route = route;
-    this.organisation = organisation;
+    route = scope.route();
+    organisation = scope.organisation();
     this.session = session;
     this.readOnly = readOnly;
     this.begunNanos = begunNanos;
@@ -64,20 +64,39 @@
   }
 
   @Override
-  public void run(Statement next, long receivedNanos, Consumer<StatementOutcome> onResult) {
+  public void run(
+      Statement next,
+      AllowedRegions allowed,
+      long receivedNanos,
+      Consumer<StatementOutcome> onResult) {
     statement = next;
     onOutcome = onResult;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
     if (connection != null) {
-      send();
+      sendIfAllowed(allowed);
       return;
     }
     Position lastCommit = session.lastCommit(route.group());
-    search =
-        new TargetSearch(context, route, organisation, readOnly, lastCommit, receivedNanos, this);
+    OperationScope scope = new OperationScope(route, organisation, allowed);
+    search = new TargetSearch(context, scope, readOnly, lastCommit, receivedNanos, this);
     search.tryNext();
   }
 
+  /** Sends the statement unless a new declaration no longer allows the region of the target. */
+  private void sendIfAllowed(AllowedRegions allowed) {
+    if (allowed.allowsTarget(context.regionOf(connection.target()))) {
+      send();
+      return;
+    }
+    finish();
+    boolean commit = statement.kind() == StatementKind.COMMIT;
+    complete(
+        StatementOutcome.failed(
+            FailureCode.ABORTED,
+            TargetSearch.NO_ALLOWED_TARGET,
+            commit ? SessionState.IDLE : SessionState.FAILED));
+  }
+
   @Override
   public void found(TargetConnection found, Position atLeast) {
     long attemptDeadlineNanos = context.loop().nowNanos() + ATTEMPT_TIMEOUT_NANOS;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -206,7 +206,8 @@
                 forward.values(),
                 forward.lastCommit(),
                 forward.counted(),
-                forward.ageMs() + heldMs));
+                forward.ageMs() + heldMs,
+                forward.allowed()));
     if (!sent) {
       held.listener.notSent();
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.store.StorePosition;
@@ -84,6 +85,7 @@
    * @param lastCommit position of the session's last commit, or null
    * @param counted whether the sender has counted the operation against the rate limit
    * @param ageMs time since the sender received the statement
+   * @param allowed regions that may run the statement
    */
   record Forward(
       long correlation,
@@ -96,7 +98,8 @@
       Map<String, String> values,
       Position lastCommit,
       boolean counted,
-      long ageMs)
+      long ageMs,
+      AllowedRegions allowed)
       implements PeerMessage {}
 
   /** The result of a forwarded statement. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -49,27 +49,20 @@
 
   ReadExecution(
       GatewayContext context,
-      Route route,
-      String organisation,
+      OperationScope scope,
       SessionData session,
       Statement statement,
       long receivedNanos,
       Consumer<StatementOutcome> onOutcome) {
     this.context = context;
-    this.route = route;
+    route = scope.route();
     this.session = session;
     this.statement = statement;
     this.onOutcome = onOutcome;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
     search =
         new TargetSearch(
-            context,
-            route,
-            organisation,
-            true,
-            session.lastCommit(route.group()),
-            receivedNanos,
-            this);
+            context, scope, true, session.lastCommit(route.group()), receivedNanos, this);
   }
 
   void start() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
@@ -37,37 +38,45 @@
   RemoteTransaction(
       EventLoop loop,
       HomeRouter homes,
-      Route route,
-      String organisation,
+      OperationScope scope,
       SessionData session,
       boolean readOnly) {
     this.loop = loop;
     this.homes = homes;
-    this.route = route;
-    this.organisation = organisation;
+    route = scope.route();
+    organisation = scope.organisation();
     this.session = session;
     this.readOnly = readOnly;
     lastUsedNanos = loop.nowNanos();
   }
 
   @Override
-  public void run(Statement next, long receivedNanos, Consumer<StatementOutcome> onOutcome) {
+  public void run(
+      Statement next,
+      AllowedRegions allowed,
+      long receivedNanos,
+      Consumer<StatementOutcome> onOutcome) {
     boolean commit = next.kind() == StatementKind.COMMIT;
     SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
     if (link == null) {
-      link = homes.remoteLink(route.group(), !readOnly);
+      link = homes.remoteLink(route.group(), !readOnly, allowed);
       transactionNumber = link == null ? 0 : link.nextTransactionNumber();
     }
     if (link == null || !link.isUp()) {
       onOutcome.accept(homeUnreachable(after));
       return;
     }
+    if (!homes.maySeeText(link.peer(), allowed)) {
+      onOutcome.accept(
+          StatementOutcome.failed(FailureCode.ABORTED, "home is not in an allowed region", after));
+      return;
+    }
     running = true;
     boolean counted = homes.isDirect(route.group());
     long ageMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - receivedNanos);
     link.forward(
         session.forwardMessage(
-            next, transactionNumber, readOnly, organisation, route, counted, ageMs),
+            next, transactionNumber, readOnly, organisation, route, counted, ageMs, allowed),
         route.statementTimeoutMs(),
         new OutboundPeerLink.ForwardListener() {
           @Override
@@ -91,7 +100,7 @@
             }
             homeAttempts++;
             link = null;
-            RemoteTransaction.this.run(next, receivedNanos, onOutcome);
+            RemoteTransaction.this.run(next, allowed, receivedNanos, onOutcome);
           }
         });
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
@@ -47,7 +48,8 @@
       String organisation,
       Route route,
       boolean counted,
-      long ageMs) {
+      long ageMs,
+      AllowedRegions allowed) {
     boolean isExecute = statement.kind() == StatementKind.EXECUTE;
     return new PeerMessage.Forward(
         0,
@@ -60,7 +62,8 @@
         Map.copyOf(values),
         lastCommit(route.group()),
         counted,
-        ageMs);
+        ageMs,
+        allowed);
   }
 
   Map<String, String> values() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -49,7 +49,7 @@
   }
 
   void start() {
-    OutboundPeerLink home = context.homes().remoteLink(route.group(), needsPrimary(route, writes));
+    OutboundPeerLink home = selectHome();
     if (home != null) {
       runAt(home);
     } else {
@@ -57,15 +57,19 @@
     }
   }
 
+  private OutboundPeerLink selectHome() {
+    return context
+        .homes()
+        .remoteLink(route.group(), needsPrimary(route, writes), admission.allowed());
+  }
+
   private void runLocally() {
     context.homes().recordServed(route.group());
-    String organisation = admission.organisation();
+    OperationScope scope = new OperationScope(route, admission.organisation(), admission.allowed());
     if (writes) {
-      new WriteExecution(context, route, organisation, session, statement, receivedNanos, onOutcome)
-          .start();
+      new WriteExecution(context, scope, session, statement, receivedNanos, onOutcome).start();
     } else {
-      new ReadExecution(context, route, organisation, session, statement, receivedNanos, onOutcome)
-          .start();
+      new ReadExecution(context, scope, session, statement, receivedNanos, onOutcome).start();
     }
   }
 
@@ -75,7 +79,14 @@
     long ageMs = TimeUnit.NANOSECONDS.toMillis(context.loop().nowNanos() - receivedNanos);
     home.forward(
         session.forwardMessage(
-            statement, 0, false, admission.organisation(), route, counted, ageMs),
+            statement,
+            0,
+            false,
+            admission.organisation(),
+            route,
+            counted,
+            ageMs,
+            admission.allowed()),
         Math.max(0, route.statementTimeoutMs() - ageMs),
         new OutboundPeerLink.ForwardListener() {
           @Override
@@ -108,7 +119,7 @@
   }
 
   private void retryAtNextHome(FailureCode code, String reason) {
-    OutboundPeerLink next = context.homes().remoteLink(route.group(), needsPrimary(route, writes));
+    OutboundPeerLink next = selectHome();
     long ageMs = TimeUnit.NANOSECONDS.toMillis(context.loop().nowNanos() - receivedNanos);
     boolean inTime = ageMs < route.statementTimeoutMs();
     if (next != null && homeAttempts < MAX_HOME_ATTEMPTS && inTime) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -6,9 +6,11 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.position.Positions;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,6 +33,11 @@
     void exhausted(String reason);
   }
 
+  /** Reason of a refusal because the targets that could run the statement are not allowed to. */
+  static final String NO_ALLOWED_TARGET = "no target in an allowed region";
+
+  // Targets of the allowed regions return with the next promotion or start, which takes seconds.
+  private static final long NO_ALLOWED_TARGET_RETRY_MS = 1_000;
   private static final String NOTHING_TRIED = "no target can run the statement";
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
@@ -40,6 +47,7 @@
   private final GatewayContext context;
   private final Route route;
   private final String organisation;
+  private final AllowedRegions allowed;
   private final boolean replicasAllowed;
   private final Position lastCommit;
   private final long receivedNanos;
@@ -52,15 +60,15 @@
 
   TargetSearch(
       GatewayContext context,
-      Route route,
-      String organisation,
+      OperationScope scope,
       boolean replicasAllowed,
       Position lastCommit,
       long receivedNanos,
       Listener listener) {
     this.context = context;
-    this.route = route;
-    this.organisation = organisation;
+    route = scope.route();
+    organisation = scope.organisation();
+    allowed = scope.allowed();
     this.replicasAllowed = replicasAllowed && route.consistency() != Consistency.PRIMARY;
     this.lastCommit = lastCommit;
     this.receivedNanos = receivedNanos;
@@ -78,6 +86,10 @@
       return;
     }
     GroupState group = context.directory().group(route.group());
+    if (allowed.restricted() && !hasAllowedTarget(group)) {
+      refuseForRegion();
+      return;
+    }
     Position atLeast = replicasAllowed ? lowerBound(group) : null;
     TargetState target =
         atLeast == null
@@ -89,6 +101,7 @@
                     organisation,
                     atLeast,
                     triedTargets,
+                    this::mayRun,
                     t -> context.pool(t).hasIdle(organisation),
                     nowNanos);
     if (target == null && atLeast != null) {
@@ -102,10 +115,50 @@
     acquire(target, atLeast);
   }
 
+  private boolean mayRun(TargetState target) {
+    return allowed.allowsTarget(context.regionOf(target));
+  }
+
+  /**
+   * Returns whether a target of the allowed regions can run the statement, or may become able to do
+   * so soon: a primary that is unreachable is replaced.
+   */
+  private boolean hasAllowedTarget(GroupState group) {
+    TargetState primary = group.primary();
+    if (primary != null && mayRun(primary) || group.targets().isEmpty()) {
+      return true;
+    }
+    if (primary != null && !replicasAllowed) {
+      return false;
+    }
+    for (TargetState target : group.targets()) {
+      // Without a primary, any target of the allowed regions may be promoted.
+      if (mayRun(target) && (primary == null || isUsable(target))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void refuseForRegion() {
+    context
+        .requestLog()
+        .logDecision(
+            "-",
+            "decision=refused organisation={} group={} code=BUSY allowed_regions={} reason=\"{}\"",
+            organisation,
+            route.group(),
+            String.join(",", new TreeSet<>(allowed.regions())),
+            NO_ALLOWED_TARGET);
+    context.metrics().recordRefusedForRegion();
+    listener.exhausted(NO_ALLOWED_TARGET + "; retry in " + NO_ALLOWED_TARGET_RETRY_MS + " ms");
+  }
+
   private TargetState untriedPrimary(GroupState group) {
     TargetState primary = group.primary();
     boolean eligible =
         isUsable(primary)
+            && mayRun(primary)
             && group.recoveryEstimator().expectedRecoveryMs(context.loop().nowNanos()) == 0
             && !triedTargets.contains(primary.entry().id() + "/proven");
     if (!eligible) {
@@ -120,9 +173,15 @@
     if (primary == null) {
       lastFailureReason = "no primary";
     } else if (lastFailureReason.equals(NOTHING_TRIED)) {
-      lastFailureReason =
-          isUsable(primary) ? "primary is being replaced" : "primary is unreachable or leaving";
+      lastFailureReason = unusablePrimaryReason(primary);
+    }
+  }
+
+  private String unusablePrimaryReason(TargetState primary) {
+    if (!mayRun(primary)) {
+      return NO_ALLOWED_TARGET;
     }
+    return isUsable(primary) ? "primary is being replaced" : "primary is unreachable or leaving";
   }
 
   private Position lowerBound(GroupState group) {
@@ -200,14 +259,16 @@
   private boolean hasUsableTarget(GroupState group) {
     long nowNanos = context.loop().nowNanos();
     TargetState primary = group.primary();
-    if (isUsable(primary) && group.recoveryEstimator().expectedRecoveryMs(nowNanos) == 0) {
+    if (isUsable(primary)
+        && mayRun(primary)
+        && group.recoveryEstimator().expectedRecoveryMs(nowNanos) == 0) {
       return true;
     }
     if (!replicasAllowed || lowerBound(group) == null) {
       return false;
     }
     for (TargetState target : group.targets()) {
-      if (target != primary && isUsable(target)) {
+      if (target != primary && isUsable(target) && mayRun(target)) {
         return true;
       }
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -31,20 +31,19 @@
 
   WriteExecution(
       GatewayContext context,
-      Route route,
-      String organisation,
+      OperationScope scope,
       SessionData session,
       Statement statement,
       long receivedNanos,
       Consumer<StatementOutcome> onOutcome) {
     this.context = context;
-    this.route = route;
-    this.organisation = organisation;
+    route = scope.route();
+    organisation = scope.organisation();
     this.session = session;
     this.statement = statement;
     this.onOutcome = onOutcome;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
-    search = new TargetSearch(context, route, organisation, false, null, receivedNanos, this);
+    search = new TargetSearch(context, scope, false, null, receivedNanos, this);
   }
 
   void start() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -48,6 +48,17 @@
           .labelNames("type", "crossing")
           .register(registry);
 
+  private final Counter refusedForRegion =
+      Counter.builder()
+          .name("hickorydrift_region_refusals_total")
+          .help("Statements refused because no target in an allowed region could run them")
+          .register(registry);
+
+  /** Counts a statement refused because no target in an allowed region could run it. */
+  public void recordRefusedForRegion() {
+    refusedForRegion.inc();
+  }
+
   /** Counts a call to the platform's store. */
   public void recordStoreCall(String kind) {
     storeCalls.labelValues(kind).inc();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
@@ -3,23 +3,51 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.hickorydrift.core.declaration.Consistency;
+import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.message.GrantAnswer;
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.AllowedRegions;
+import io.hickorydrift.core.statement.Statement;
+import io.hickorydrift.core.statement.StatementKind;
 import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.OutBuffer;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class PeerMessageCodecTest {
+  private static PeerMessage.Forward forward(AllowedRegions allowed) {
+    return new PeerMessage.Forward(
+        4,
+        9,
+        true,
+        "red",
+        new Route("", "g", Consistency.BOUNDED_STALENESS, 800, 250, 1, 1_500, true, Set.of()),
+        new Statement("q1", StatementKind.READ, "READ a1", "", "", false),
+        null,
+        Map.of("color", "blue"),
+        new Position(3, 1207),
+        true,
+        12,
+        allowed);
+  }
+
   static List<PeerMessage> messages() {
     return List.of(
+        forward(AllowedRegions.ALL),
+        forward(AllowedRegions.of(Set.of("north", "south"), Set.of())),
+        forward(AllowedRegions.of(Set.of("north"), Set.of("south"))),
         new PeerMessage.Ping("gw-1", 7, true, 3),
         new PeerMessage.Pong(
             7,
@@ -55,6 +83,19 @@
     }
   }
 
+  /** Guards against a fleet that cannot forward statements while it is being updated. */
+  @Test
+  void forwardOfPreviousVersionIsNotRestricted() {
+    PeerMessage.Forward message = forward(AllowedRegions.ALL);
+    OutBuffer out = new OutBuffer();
+    PeerMessageCodec.write(out, message);
+    byte[] bytes = out.toBytes();
+    // The previous version ends before the flag and the empty list, of one byte each.
+    ByteBuffer previous = ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length - 2));
+    previous.putInt(0, previous.remaining() - Integer.BYTES);
+    assertThat(PeerMessageCodec.read(previous)).isEqualTo(message);
+  }
+
   @Property(tries = 2_000, seed = "20261204")
   void arbitraryBytesAreDecodedOrRejected(@ForAll @Size(max = 120) byte[] bytes) {
     ByteBuffer in = ByteBuffer.allocate(bytes.length + 4);
