--- a/core/src/main/java/io/hickorydrift/core/placement/HomePlan.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/HomePlan.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.core.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -16,7 +17,7 @@
  * <p>Invariant: a function of the members and the declaration, so that instances with the same view
  * of both agree. Thread safety: immutable.
  */
-public final class HomePlan {
+public final class HomePlan implements HomeAssignment {
   /** An instance and its relative capacity. */
   public record Member(String id, double weight) {}
 
@@ -29,6 +30,8 @@
   private static final double USED_FRACTION = 0.75;
   private static final double STANDBY_FRACTION = 0.1;
 
+  private static final String ONLY_REGION = "";
+
   private final List<Member> members;
   private final int fleetSize;
   private final Map<String, List<String>> rankedByGroup = new HashMap<>();
@@ -45,11 +48,21 @@
     return maxConnections * USED_FRACTION / fleetSize >= MIN_CONNECTIONS_PER_INSTANCE;
   }
 
+  @Override
+  public List<String> rankedInstances(String group, String region) {
+    return rankedInstances(group);
+  }
+
   /** Returns the instances that may serve {@code group}, the home first. */
   public List<String> rankedInstances(String group) {
     return rankedByGroup.computeIfAbsent(group, this::rank);
   }
 
+  @Override
+  public Collection<String> regions() {
+    return List.of(ONLY_REGION);
+  }
+
   private List<String> rank(String group) {
     List<Member> ranked = new ArrayList<>(members);
     ranked.sort(
@@ -63,8 +76,13 @@
   }
 
   private static double score(String group, Member member) {
-    double weight = member.weight() > 0 ? member.weight() : 1;
-    return -weight / Math.log(Rendezvous.unitHash(group, member.id()));
+    return Rendezvous.weightedScore(group, member.id(), member.weight());
+  }
+
+  @Override
+  public int maxConnectionsPerTarget(
+      String group, int maxConnections, String targetDomain, String id, boolean serving) {
+    return maxConnectionsPerTarget(group, maxConnections, id, serving);
   }
 
   /**
@@ -80,6 +98,12 @@
     return Math.max(1, (int) (maxConnections * (servesGroup ? USED_FRACTION : STANDBY_FRACTION)));
   }
 
+  @Override
+  public int maxConnectionsAtStart(
+      String group, int maxConnections, String targetDomain, String id) {
+    return maxConnectionsAtStart(group, maxConnections, id);
+  }
+
   /**
    * Returns the maximum number of connections of the instance {@code id} to each target just after
    * its start, while targets may still count the connections of its previous run. Load pattern: all
--- a/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
@@ -39,6 +39,14 @@
     return (bits + HALF) / (1L << (Long.SIZE - UNUSED_BITS));
   }
 
+  /**
+   * Returns the score of {@code candidate} for {@code key}: the candidate with the highest score is
+   * chosen with a probability in proportion to its weight. A weight of 0 counts as 1.
+   */
+  public static double weightedScore(String key, String candidate, double weight) {
+    return -(weight > 0 ? weight : 1) / Math.log(unitHash(key, candidate));
+  }
+
   private static long weight(long keyHash, Object candidate) {
     return mix(keyHash ^ mix(hash(candidate.toString())));
   }
