--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Failure domains that the operator has evacuated. */
+package io.hickorydrift.core.evacuation;
