Route statements to the home of a region near the target

Cause: the entry instance forwarded every statement to the group's one home, wherever that is, and reads took the same path.

Where distance matters (several regions, or a route of the highest priority), HomeRouter uses the plan by locality: a read goes to the home of the entry's region if a target there accepts work, other statements to the primary's. Budgets depend on the region of the target. Observers and promotion keep the ranks over the whole fleet. Rate holders follow the homes of all regions.

The entry counts an operation by the same rule by which it routes it, and a read-only transaction on a primary route uses one rule in both places where its home is chosen; before, these differed.

Ruled out: links from every instance to all homes, for their heartbeats between regions; an entry links to other regions' homes only while none of the preferred region is reachable.

--- a/core/src/main/java/io/hickorydrift/core/directory/Directory.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/Directory.java
@@ -23,6 +23,7 @@
   private final Map<String, String> groupByTargetId = new HashMap<>();
   private final Map<String, TargetState> departed = new LinkedHashMap<>();
   private final Consumer<TargetState> onRemoved;
+  private long changeCount;
 
   /**
    * Creates an empty directory; {@code onRemoved} receives targets that were removed or replaced.
@@ -36,11 +37,28 @@
     return groups.computeIfAbsent(name, GroupState::new);
   }
 
+  /** Returns the targets of the group {@code name} without adding that to {@link #groups}. */
+  public Collection<TargetState> targetsOf(String name) {
+    GroupState group = groups.get(name);
+    return group == null ? List.of() : group.targets();
+  }
+
+  /** Returns the primary of the group {@code name}, or null if it has none or is not known. */
+  public TargetState primaryOf(String name) {
+    GroupState group = groups.get(name);
+    return group == null ? null : group.primary();
+  }
+
   /** Returns all groups that were looked up or that have targets. */
   public Collection<GroupState> groups() {
     return groups.values();
   }
 
+  /** Returns a number that changes whenever an entry is written, added or removed. */
+  public long changeCount() {
+    return changeCount;
+  }
+
   /** Returns the entries of all targets. */
   public List<TargetEntry> entries() {
     List<TargetEntry> entries = new ArrayList<>();
@@ -64,6 +82,7 @@
     if (isOutdated(entry, position, known)) {
       return false;
     }
+    changeCount++;
     boolean sameProcess =
         known != null
             && previousGroup.equals(entry.group())
@@ -110,6 +129,7 @@
     if (group == null) {
       return null;
     }
+    changeCount++;
     TargetState removed = group(group).targetsById().remove(id);
     onRemoved.accept(removed);
     return removed;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -324,7 +324,9 @@
       refuse(statement, admission);
       return;
     }
-    if (!context.homes().countsOperations(admission.route().group())) {
+    Route route = admission.route();
+    boolean needsPrimary = SingleStatement.needsPrimary(route, writes(statement));
+    if (!context.homes().countsOperations(route.group(), needsPrimary)) {
       // The home counts the operation against the rate limit.
       onAdmitted.accept(admission);
       return;
@@ -355,6 +357,12 @@
             });
   }
 
+  /** Returns whether the operation that {@code statement} begins may write. */
+  private boolean writes(Statement statement) {
+    return statement.kind() == StatementKind.BEGIN
+        || statement.kind() != StatementKind.BEGIN_READ_ONLY && data.writes(statement);
+  }
+
   private void refuse(Statement statement, AdmissionDecision admission) {
     context.requestLog().logRefusal(statement.id(), admission, context.declarations());
     answer(StatementOutcome.failed(admission.refusal(), admission.reason(), state));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -94,15 +94,15 @@
             new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
-    homes = new HomeRouter(loop, declarations, fleet, settings.id(), settings.regions());
-    pools = new TargetPools(loop, platform.targetCodec(), homes);
     directory = new Directory(this::onTargetRemoved);
+    homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
+    pools = new TargetPools(loop, platform.targetCodec(), homes);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
         new Peers(
             loop,
-            new PeerTraffic(metrics, fleet),
+            new PeerTraffic(metrics, fleet, settings.failureDomain(), settings.regions()),
             settings.id(),
             fleet,
             declarations,
@@ -217,6 +217,10 @@
         "declaration_proof_age_milliseconds",
         "Age of the last confirmation that the current declaration is the newest; -1 if none",
         declarations::proofAgeMs);
+    metrics.registerGauge(
+        "homes",
+        "Pairs of a group and a region that this instance is the home of",
+        homes::homeCount);
     metrics.registerGauge(
         "target_connections", "Open connections to targets", pools::connectionCount);
     metrics.registerGauge(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -1,9 +1,12 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
-import io.hickorydrift.core.placement.HomePlan;
+import io.hickorydrift.core.directory.Directory;
+import io.hickorydrift.core.placement.HomeAssignment;
 import io.hickorydrift.core.placement.Regions;
+import io.hickorydrift.core.placement.ServingRegion;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,7 +14,7 @@
 import java.util.Set;
 
 /**
- * Selects the instance that runs each group's statements, by the {@link HomePlan} of the live
+ * Selects the instance that runs each group's statements, by the {@link HomeAssignment} of the live
  * instances.
  *
  * <p>Thread safety: confined to the loop's thread.
@@ -31,16 +34,16 @@
   private final FleetMembership fleet;
   private final String self;
   private final Regions regions;
+  private final HomePlans plans;
   private final long startNanos;
   private final Map<String, Long> lastServedNanos = new HashMap<>();
   private Peers peers;
-  private HomePlan plan;
-  private long planChangeCount = -1;
 
   HomeRouter(
       EventLoop loop,
       Declarations declarations,
       FleetMembership fleet,
+      Directory directory,
       String self,
       Regions regions) {
     this.loop = loop;
@@ -48,6 +51,7 @@
     this.fleet = fleet;
     this.self = self;
     this.regions = regions;
+    plans = new HomePlans(declarations, fleet, directory, self, regions);
     startNanos = loop.nowNanos();
   }
 
@@ -55,14 +59,6 @@
     peers = links;
   }
 
-  private HomePlan plan() {
-    if (planChangeCount != fleet.changeCount()) {
-      planChangeCount = fleet.changeCount();
-      plan = new HomePlan(fleet.members());
-    }
-    return plan;
-  }
-
   private int maxConnections(String group) {
     DeclaredGroup declared = declarations.current().groups().get(group);
     return declared == null ? 1 : declared.maxConnections();
@@ -70,7 +66,7 @@
 
   /** Returns whether every instance runs the statements of {@code group} itself. */
   boolean isDirect(String group) {
-    return plan().isDirect(maxConnections(group));
+    return plans.fleetWide().isDirect(maxConnections(group));
   }
 
   /**
@@ -102,39 +98,113 @@
     if (isDirect(group)) {
       return needsPrimary ? peers.forwardingLink(group) : null;
     }
-    for (String id : plan().rankedInstances(group)) {
-      if (id.equals(self)) {
-        return null;
-      }
-      OutboundPeerLink link = peers.link(id);
-      if (link != null && link.isUp()) {
-        return link;
+    HomeAssignment homes = plans.of(group);
+    for (String region : servingRegions(group, needsPrimary)) {
+      for (String id : homes.rankedInstances(group, region)) {
+        if (id.equals(self)) {
+          return null;
+        }
+        if (peers.isUp(id)) {
+          return peers.link(id);
+        }
       }
     }
     return null;
   }
 
-  /** Returns whether this instance is the home of {@code group}. */
+  /** Returns the regions whose homes may run a statement of {@code group}, in order. */
+  private Collection<String> servingRegions(String group, boolean needsPrimary) {
+    Collection<String> homeRegions = plans.of(group).regions();
+    if (homeRegions.size() <= 1) {
+      return homeRegions;
+    }
+    ServingRegion.Work work =
+        new ServingRegion.Work(
+            needsPrimary, plans.primaryRegion(group), plans.targetRegions(group), region -> true);
+    return new ServingRegion(ownRegion()).inOrder(work, homeRegions);
+  }
+
+  private String ownRegion() {
+    return regions.regionOf(fleet.failureDomainOf(self));
+  }
+
+  /** Returns whether this instance is the home of {@code group} in a region. */
   boolean isHome(String group) {
-    return !isDirect(group) && plan().rankedInstances(group).get(0).equals(self);
+    return !isDirect(group) && ownRankedInstances(group).indexOf(self) == 0;
+  }
+
+  /**
+   * Returns the instances that may serve {@code group} in the region in which this instance is one
+   * of them, or an empty list.
+   */
+  private List<String> ownRankedInstances(String group) {
+    HomeAssignment homes = plans.of(group);
+    for (String region : homes.regions()) {
+      List<String> ranked = homes.rankedInstances(group, region);
+      if (ranked.contains(self)) {
+        return ranked;
+      }
+    }
+    return List.of();
+  }
+
+  /**
+   * Returns whether this instance counts an operation on {@code group} that it receives against the
+   * rate limits.
+   *
+   * @param needsPrimary whether only the primary can run the operation
+   */
+  boolean countsOperations(String group, boolean needsPrimary) {
+    return isDirect(group) || remoteLink(group, needsPrimary) == null;
+  }
+
+  /** Returns whether {@code id} observes the primary of {@code group}. */
+  private boolean isObserver(String group, String id) {
+    return isDirect(group) || plans.fleetWide().rankedInstances(group).contains(id);
+  }
+
+  /** Returns whether this instance observes the primary of {@code group}. */
+  boolean isObserver(String group) {
+    return isObserver(group, self);
+  }
+
+  /**
+   * Returns whether {@code id} may serve {@code group} in some region or observes its primary, and
+   * so needs what its peers know of the primary.
+   */
+  boolean needsStatus(String group, String id) {
+    if (isObserver(group, id)) {
+      return true;
+    }
+    HomeAssignment homes = plans.of(group);
+    for (String region : homes.regions()) {
+      if (homes.rankedInstances(group, region).contains(id)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
-   * Returns whether this instance counts the operations on {@code group} that it receives against
-   * the rate limits.
+   * Returns whether this instance keeps its observations of the primary of {@code group} fresh by
+   * probes of its own: it is an observer, or the home of the primary's region.
    */
-  boolean countsOperations(String group) {
-    return isDirect(group) || remoteLink(group, false) == null;
+  boolean probesPrimary(String group) {
+    if (isObserver(group)) {
+      return true;
+    }
+    List<String> ranked = plans.of(group).rankedInstances(group, plans.primaryRegion(group));
+    return !ranked.isEmpty() && ranked.get(0).equals(self);
   }
 
-  /** Returns whether {@code peer} may run statements of {@code group}. */
-  boolean mayServe(String group, String peer) {
-    return isDirect(group) || plan().rankedInstances(group).contains(peer);
+  /** Returns whether this instance is a home of {@code group} by locality, or replaces one. */
+  boolean servesByLocality(String group) {
+    return plans.isByLocality(group) && (isHome(group) || isServingRecently(group));
   }
 
-  /** Returns whether this instance may run statements of {@code group}. */
-  boolean mayServe(String group) {
-    return mayServe(group, self);
+  private boolean isServingRecently(String group) {
+    Long servedNanos = lastServedNanos.get(group);
+    return servedNanos != null && loop.nowNanos() - servedNanos < RECENTLY_SERVED_NANOS;
   }
 
   /** Records that a statement of {@code group} runs here. */
@@ -142,16 +212,18 @@
     lastServedNanos.put(group, loop.nowNanos());
   }
 
-  /** Returns the maximum number of connections of this instance to each target of {@code group}. */
-  int connectionBudget(String group) {
+  /**
+   * Returns the maximum number of connections of this instance to a target of {@code group} in the
+   * failure domain {@code targetDomain}.
+   */
+  int connectionBudget(String group, String targetDomain) {
+    HomeAssignment homes = plans.of(group);
+    int maxConnections = maxConnections(group);
     if (loop.nowNanos() - startNanos < START_PHASE_NANOS) {
-      return plan().maxConnectionsAtStart(group, maxConnections(group), self);
+      return homes.maxConnectionsAtStart(group, maxConnections, targetDomain, self);
     }
-    Long servedNanos = lastServedNanos.get(group);
-    boolean recentlyServed =
-        servedNanos != null && loop.nowNanos() - servedNanos < RECENTLY_SERVED_NANOS;
-    boolean replacesHome = recentlyServed && !higherRankedIsUp(group);
-    return plan().maxConnectionsPerTarget(group, maxConnections(group), self, replacesHome);
+    boolean replacesHome = isServingRecently(group) && !higherRankedIsUp(group);
+    return homes.maxConnectionsPerTarget(group, maxConnections, targetDomain, self, replacesHome);
   }
 
   /**
@@ -160,12 +232,13 @@
    * those of both.
    */
   private boolean higherRankedIsUp(String group) {
-    for (String id : plan().rankedInstances(group)) {
-      if (id.equals(self)) {
-        return false;
-      }
-      OutboundPeerLink link = peers.link(id);
-      if (link != null && link.isUp()) {
+    List<String> ownRanked = ownRankedInstances(group);
+    if (!ownRanked.isEmpty()) {
+      return ownRanked.subList(0, ownRanked.indexOf(self)).stream().anyMatch(peers::isUp);
+    }
+    HomeAssignment homes = plans.of(group);
+    for (String region : homes.regions()) {
+      if (homes.rankedInstances(group, region).stream().anyMatch(peers::isUp)) {
         return true;
       }
     }
@@ -179,7 +252,7 @@
       all.add(self);
       return List.copyOf(all);
     }
-    return plan().rankedInstances(group);
+    return plans.fleetWide().rankedInstances(group);
   }
 
   /**
@@ -191,16 +264,31 @@
     }
     Set<String> ids = new LinkedHashSet<>();
     for (String group : declarations.current().groups().keySet()) {
-      List<String> ranked = plan().rankedInstances(group);
-      ids.addAll(ranked.subList(0, Math.min(RATE_HOLDER_RANKS, ranked.size())));
+      HomeAssignment homes = plans.of(group);
+      for (String region : homes.regions()) {
+        List<String> ranked = homes.rankedInstances(group, region);
+        ids.addAll(ranked.subList(0, Math.min(RATE_HOLDER_RANKS, ranked.size())));
+      }
     }
     return ids;
   }
 
+  /** Returns a number that changes whenever a home may have moved. */
+  long changeCount() {
+    return plans.changeCount();
+  }
+
+  /** Returns the number of pairs of a group and a region that this instance is the home of. */
+  int homeCount() {
+    return plans.ownHomes().size();
+  }
+
   /**
    * Returns the peers to which this instance keeps links: of each group the home and the first
    * instance that would replace it, and the next in rank while one of these is down; all of them if
-   * this instance may serve the group itself.
+   * this instance may serve the group itself. With homes in several regions, these are the homes of
+   * the own region and of the primary's; those of others only while none of the preferred region is
+   * reachable.
    */
   Set<String> linkedPeers() {
     if (allGroupsDirect()) {
@@ -208,24 +296,65 @@
     }
     Set<String> ids = new LinkedHashSet<>();
     for (String group : declarations.current().groups().keySet()) {
-      List<String> ranked = plan().rankedInstances(group);
+      addLinks(group, servingRegions(group, true), ids);
+      addLinks(group, servingRegions(group, false), ids);
+      if (plans.isByLocality(group) && isObserver(group)) {
+        ids.addAll(plans.fleetWide().rankedInstances(group));
+      }
+      if (plans.isByLocality(group) && isHome(group)) {
+        ids.addAll(rateHolderCandidates());
+      }
+    }
+    ids.remove(self);
+    return ids;
+  }
+
+  private void addLinks(String group, Collection<String> regionsInOrder, Set<String> ids) {
+    for (String region : regionsInOrder) {
+      List<String> ranked = plans.of(group).rankedInstances(group, region);
       int wanted = ranked.contains(self) ? ranked.size() : LINKED_RANKS;
+      boolean served = false;
       for (int i = 0; i < ranked.size() && wanted > 0; i++) {
+        boolean down = peers.isDown(ranked.get(i));
         ids.add(ranked.get(i));
-        wanted -= peers.isDown(ranked.get(i)) ? 0 : 1;
+        wanted -= down ? 0 : 1;
+        served |= !down;
+      }
+      if (served) {
+        return;
       }
     }
-    ids.remove(self);
-    return ids;
   }
 
-  /** Returns whether this instance and {@code peer} may both serve some group. */
-  boolean servesWith(String peer) {
+  /** Returns whether this instance needs the status of {@code peer} at each heartbeat. */
+  boolean needsStatusOf(String peer) {
     for (String group : declarations.current().groups().keySet()) {
-      if (mayServe(group) && mayServe(group, peer)) {
+      boolean bothObserve = isObserver(group) && isObserver(group, peer);
+      if (bothObserve || ownRankedInstances(group).contains(peer) || isSource(group, peer)) {
         return true;
       }
     }
     return false;
   }
+
+  /**
+   * Returns whether this instance, as a home in a region other than the primary's, takes observed
+   * positions of the primary of {@code group} from {@code peer}, the home in the primary's region.
+   * Without them, it could not prove the staleness of its reads; its standbys take them from it.
+   */
+  private boolean isSource(String group, String peer) {
+    if (!servesByLocality(group)) {
+      return false;
+    }
+    HomeAssignment homes = plans.of(group);
+    for (String id : homes.rankedInstances(group, plans.primaryRegion(group))) {
+      if (id.equals(self) || id.equals(peer)) {
+        return id.equals(peer);
+      }
+      if (!peers.isDown(id)) {
+        return false;
+      }
+    }
+    return false;
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
@@ -48,7 +48,7 @@
   private final Map<String, List<String>> holders = new HashMap<>();
   private long nextTicket = 1;
   private long declarationVersion = Long.MIN_VALUE;
-  private long fleetChangeCount = -1;
+  private long homesChangeCount = -1;
   private boolean hasShare;
 
   OrganisationRateLimiter(
@@ -135,12 +135,12 @@
   private void refresh() {
     boolean unchanged =
         declarationVersion == declarations.current().version()
-            && fleetChangeCount == fleet.changeCount();
+            && homesChangeCount == homes.changeCount();
     if (unchanged) {
       return;
     }
     declarationVersion = declarations.current().version();
-    fleetChangeCount = fleet.changeCount();
+    homesChangeCount = homes.changeCount();
     Map<String, RateLimit> rates = new HashMap<>();
     holders.clear();
     for (DeclaredOrganisation organisation : declarations.current().organisations().values()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -140,7 +140,7 @@
             outboundLinks.computeIfAbsent(
                 peer, key -> new OutboundPeerLink(loop, traffic, self, peer, address, era, this)));
     for (OutboundPeerLink link : List.copyOf(outboundLinks.values())) {
-      link.heartbeat(relays.contains(link.peer()) || homes.servesWith(link.peer()));
+      link.heartbeat(relays.contains(link.peer()) || homes.needsStatusOf(link.peer()));
     }
     List.copyOf(inboundLinks).forEach(InboundPeerLink::closeIfSilent);
   }
@@ -292,7 +292,7 @@
   private List<PeerMessage.PrimaryStatus> primaryStatuses(String peer) {
     List<PeerMessage.PrimaryStatus> statuses = new ArrayList<>();
     for (GroupState group : directory.groups()) {
-      if (!homes.mayServe(group.name(), peer)) {
+      if (!homes.needsStatus(group.name(), peer)) {
         continue;
       }
       Position position = group.observedPositions().latest();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
@@ -18,6 +18,10 @@
 final class PrimaryProber {
   // Keeps observed positions several times fresher than the 1.5 s of staleness that reads accept.
   private static final long PROBE_AFTER_NANOS = 350_000_000L;
+  // A home in another region learns positions with the heartbeats of the primary's home, every
+  // 400 ms, when these are up to 350 ms old. It probes across regions only if a heartbeat is lost.
+  private static final long DISTANT_PROBE_AFTER_NANOS = 1_000_000_000L;
+  private static final long NO_PROBES = Long.MAX_VALUE;
   private static final long PROBE_TIMEOUT_NANOS = 350_000_000L;
   private static final int HIGHEST_PRIORITY = 0;
   // A single failed probe may be due to its connection, not to the primary.
@@ -68,21 +72,31 @@
     for (GroupState group : directory.groups()) {
       TargetState primary = group.primary();
       updateRecoveryEstimator(group, primary, nowNanos);
-      boolean declared =
-          declarations.current().groups().containsKey(group.name()) && homes.mayServe(group.name());
-      if (primary == null || !declared) {
+      long probeAfterNanos = probeAfterNanos(group.name());
+      if (primary == null || probeAfterNanos == NO_PROBES) {
         continue;
       }
       Reachability reachability =
           reachabilityByTarget.computeIfAbsent(primary, key -> new Reachability());
       boolean probeDue =
-          group.observedPositions().ageNanos(nowNanos) > PROBE_AFTER_NANOS || reachability.failing;
+          group.observedPositions().ageNanos(nowNanos) > probeAfterNanos || reachability.failing;
       if (!reachability.probing && probeDue) {
         probe(group, primary, reachability);
       }
     }
   }
 
+  /** Returns the age of the last observation after which this instance probes the primary. */
+  private long probeAfterNanos(String group) {
+    if (!declarations.current().groups().containsKey(group)) {
+      return NO_PROBES;
+    }
+    if (homes.probesPrimary(group)) {
+      return PROBE_AFTER_NANOS;
+    }
+    return homes.servesByLocality(group) ? DISTANT_PROBE_AFTER_NANOS : NO_PROBES;
+  }
+
   private void updateRecoveryEstimator(GroupState group, TargetState primary, long nowNanos) {
     if (primary == null || unreachableMs(primary) > UNAVAILABLE_AFTER_MS) {
       group.recoveryEstimator().recordUnavailable(false, nowNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
@@ -91,7 +91,7 @@
   void tick(long nowNanos, boolean storeSettled) {
     for (GroupState group : directory.groups()) {
       boolean declared = declarations.current().groups().containsKey(group.name());
-      if (!declared || !homes.mayServe(group.name())) {
+      if (!declared || !homes.isObserver(group.name())) {
         continue;
       }
       PromotionAttempt attempt = attempts.get(group.name());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -55,7 +55,7 @@
     boolean commit = next.kind() == StatementKind.COMMIT;
     SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
     if (link == null) {
-      link = homes.remoteLink(route.group(), !readOnly);
+      link = homes.remoteLink(route.group(), SingleStatement.needsPrimary(route, !readOnly));
       transactionNumber = link == null ? 0 : link.nextTransactionNumber();
     }
     if (link == null || !link.isUp()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -51,7 +51,7 @@
   }
 
   private int budget(TargetState target) {
-    return homes.connectionBudget(target.entry().group());
+    return homes.connectionBudget(target.entry().group(), target.entry().failureDomain());
   }
 
   /** Closes the pool of a target that was removed or has restarted. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -48,6 +48,13 @@
           .labelNames("type", "crossing")
           .register(registry);
 
+  private final Counter forwardedStatements =
+      Counter.builder()
+          .name("hickorydrift_forwarded_statements_total")
+          .help("Statements forwarded to a home, by the distance to it")
+          .labelNames("scope")
+          .register(registry);
+
   /** Counts a call to the platform's store. */
   public void recordStoreCall(String kind) {
     storeCalls.labelValues(kind).inc();
@@ -64,6 +71,15 @@
     peerBytes.labelValues(type, crossing ? "other_domain" : "same_domain").inc(bytes);
   }
 
+  /**
+   * Counts a statement that was forwarded to a home.
+   *
+   * @param scope distance to the home: domain, region or other_region
+   */
+  public void recordForwarded(String scope) {
+    forwardedStatements.labelValues(scope).inc();
+  }
+
   /** Records the latency of a completed request under its numeric result code. */
   public void recordRequest(String organisation, String operation, ResultCode code, long nanos) {
     recordRequest(organisation, operation, String.valueOf(code.number()), nanos);
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -28,7 +28,8 @@
   private final Declarations declarations = new Declarations(loop, 5_000);
   private final FleetMembership fleet =
       new FleetMembership(loop, store, "gw-0", new FleetEntry("127.0.0.1:9", 1, "z"));
-  private final HomeRouter homes = new HomeRouter(loop, declarations, fleet, "gw-0", Regions.NONE);
+  private final HomeRouter homes =
+      new HomeRouter(loop, declarations, fleet, directory, "gw-0", Regions.NONE);
   // No target listens at its address, so that nothing is encoded.
   private final TargetPools pools = new TargetPools(loop, null, homes);
 
