Keep reads in their region while a target there is sooner

Cause: a target in another region cost as much as one in another domain, half a statement, although a round trip to it takes 60 ms.

The round trip is converted to statements by the average service time of the own region's targets. That average leaves out the time behind other statements of this instance: with the plain response time, a queue makes the round trip seem short, and reads leave the region too early. The cost is bounded below that of a target that is avoided, so that a read leaves a region whose only target is failing. Without regions nothing changes.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -1,12 +1,17 @@
 package io.hickorydrift.core.directory;
 
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.Proximity;
+import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.placement.Rendezvous;
 import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * Chooses the target of a read that may run on a replica, by estimated cost.
+ * Chooses the target of a read that may run on a replica, by estimated cost. The unit is the time
+ * that a statement occupies a slot. Load pattern: reads in several regions, where a round trip to
+ * another region takes longer than most queues; a read leaves its region only if no target there
+ * would complete it sooner.
  *
  * <p>Thread safety: immutable.
  */
@@ -17,6 +22,11 @@
   private static final double PRIMARY_COST = 2.0;
   private static final double CROSS_DOMAIN_COST = 0.5;
   private static final double AVOIDED_COST = 100;
+  private static final double REGION_ROUND_TRIP_NANOS = 60_000_000;
+  // Assumed until a target of the own region has answered.
+  private static final double DEFAULT_SERVICE_NANOS = 10_000_000;
+  // A longer queue than any target has, but less than the cost of a target that is to be avoided.
+  private static final double MAX_OTHER_REGION_COST = 50;
   // Opening a connection takes about as long as a statement.
   private static final double CONNECT_COST = 0.8;
   // Keeps the reads of an organisation on one replica until that is clearly busier than the others:
@@ -24,10 +34,12 @@
   private static final double OTHER_REPLICA_COST = 0.7;
 
   private final String ownDomain;
+  private final Regions regions;
 
   /** Creates a placement for an instance in the failure domain {@code ownDomain}. */
-  public ReadPlacement(String ownDomain) {
+  public ReadPlacement(String ownDomain, Regions regions) {
     this.ownDomain = ownDomain;
+    this.regions = regions;
   }
 
   /**
@@ -45,13 +57,14 @@
       long nowNanos) {
     TargetState primary = group.primary();
     TargetState preferred = preferredReplica(group, primary, organisation);
+    double otherRegionCost = otherRegionCost(group);
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetState target : group.targets()) {
       if (!target.acceptsNewWork() || tried.contains(target.entry().id())) {
         continue;
       }
-      double cost = cost(target, target == primary, atLeast, nowNanos);
+      double cost = cost(target, target == primary, atLeast, otherRegionCost, nowNanos);
       cost += hasIdleConnection.test(target) ? 0 : CONNECT_COST;
       cost += target == preferred || target == primary ? 0 : OTHER_REPLICA_COST;
       if (cost < bestCost) {
@@ -62,13 +75,16 @@
     return best;
   }
 
-  /** Returns the replica that {@code organisation} is assigned to by rendezvous hashing. */
-  private static TargetState preferredReplica(
-      GroupState group, TargetState primary, String organisation) {
+  /**
+   * Returns the replica that {@code organisation} is assigned to by rendezvous hashing, one of the
+   * own region if there is any.
+   */
+  private TargetState preferredReplica(GroupState group, TargetState primary, String organisation) {
     TargetState preferred = null;
     double highest = -1;
     for (TargetState target : group.targets()) {
       double hash = Rendezvous.unitHash(organisation, target.entry().id());
+      hash += isInOtherRegion(target) ? 0 : 1;
       boolean usable = target != primary && target.acceptsNewWork();
       if (usable && hash > highest) {
         preferred = target;
@@ -78,7 +94,31 @@
     return preferred;
   }
 
-  private double cost(TargetState target, boolean primary, Position atLeast, long nowNanos) {
+  private boolean isInOtherRegion(TargetState target) {
+    String domain = target.entry().failureDomain();
+    return Proximity.between(ownDomain, domain, regions) == Proximity.OTHER_REGION;
+  }
+
+  /** Returns the number of statements that a target runs in a slot during one round trip. */
+  private double otherRegionCost(GroupState group) {
+    double sumNanos = 0;
+    int count = 0;
+    for (TargetState target : group.targets()) {
+      if (target.averageServiceNanos() > 0 && !isInOtherRegion(target)) {
+        sumNanos += target.averageServiceNanos();
+        count++;
+      }
+    }
+    double serviceNanos = count == 0 ? DEFAULT_SERVICE_NANOS : sumNanos / count;
+    return Math.min(MAX_OTHER_REGION_COST, REGION_ROUND_TRIP_NANOS / serviceNanos);
+  }
+
+  private double cost(
+      TargetState target,
+      boolean primary,
+      Position atLeast,
+      double otherRegionCost,
+      long nowNanos) {
     double cost = (double) target.outstanding() / Math.max(1, target.entry().slots());
     if (primary) {
       cost += PRIMARY_COST;
@@ -86,7 +126,7 @@
       cost += UNCONFIRMED_POSITION_COST;
     }
     if (!target.entry().failureDomain().equals(ownDomain)) {
-      cost += CROSS_DOMAIN_COST;
+      cost += isInOtherRegion(target) ? otherRegionCost : CROSS_DOMAIN_COST;
     }
     return target.isAvoided(nowNanos) ? cost + AVOIDED_COST : cost;
   }
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -22,6 +22,7 @@
   private boolean ruledOut;
   private int outstanding;
   private double averageAnswerNanos;
+  private double averageServiceNanos;
 
   TargetState(TargetEntry entry, StorePosition position) {
     this.entry = entry;
@@ -126,6 +127,10 @@
 
   /** Records that a statement was answered or abandoned after {@code nanos}. */
   public void recordAnswered(long nanos) {
+    double rounds = Math.max(1, (double) outstanding / Math.max(1, entry.slots()));
+    double serviceNanos = nanos / rounds;
+    double before = averageServiceNanos == 0 ? serviceNanos : averageServiceNanos;
+    averageServiceNanos = before + SMOOTHING_FACTOR * (serviceNanos - before);
     outstanding--;
     averageAnswerNanos += SMOOTHING_FACTOR * (nanos - averageAnswerNanos);
   }
@@ -135,6 +140,14 @@
     return outstanding;
   }
 
+  /**
+   * Returns the exponentially weighted moving average of the response time without the time for
+   * which this instance's other statements occupied the slots; 0 if there was no response yet.
+   */
+  public double averageServiceNanos() {
+    return averageServiceNanos;
+  }
+
   /** Returns the exponentially weighted moving average of the response time. */
   public double averageAnswerNanos() {
     return averageAnswerNanos;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -148,7 +148,7 @@
             platform.callerCodec(),
             declarations,
             directory,
-            new ReadPlacement(settings.failureDomain()),
+            new ReadPlacement(settings.failureDomain(), settings.regions()),
             pools,
             limits,
             new RequestLog(loop),
