--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -59,7 +59,8 @@
     boolean commit = next.kind() == StatementKind.COMMIT;
     SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
     if (link == null) {
-      link = homes.remoteLink(route.group(), !readOnly, allowed);
+      boolean needsPrimary = SingleStatement.needsPrimary(route, !readOnly);
+      link = homes.remoteLink(route.group(), needsPrimary, allowed);
       transactionNumber = link == null ? 0 : link.nextTransactionNumber();
     }
     if (link == null || !link.isUp()) {
