Admit requests at a late instance from its first settings on

Cause: an instance that starts during a store outage has no slot and borrows every token. The heartbeat of a peer brought it the settings within milliseconds, but the peer counted as live, and so as one to borrow from, only at the next tick, up to 100 ms later. A request in between waited 60 ms and was refused as beyond the rate. This takes no load; a busy machine only makes the window more likely to be hit.

A peer now counts as live with its first heartbeat. Two smaller causes of the same message are gone too: settings became visible before their rate limits were set, and an instance without a share reported an exceeded rate although no peer had answered. Such a request now waits for the first answer, 500 ms at most (the validity of a grant), and is then refused as OVERLOADED with the reason. An instance with a share, or with an answer, waits 60 ms as before.

Ruled out: a longer wait alone, because it delays refusals that are true; empty buckets at the peers, because they fill within milliseconds.

--- a/core/src/main/java/io/hickorydrift/core/limit/SlotRateLimiter.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SlotRateLimiter.java
@@ -15,6 +15,10 @@
  * short bounded time while tokens are requested from peers, and is rejected at once if the queue is
  * too long for it to be admitted in that time.
  *
+ * <p>An instance without a share knows from the answers of its peers only whether a rate is used
+ * up. While none has answered, a request is queued longer, for the validity of a grant at most: a
+ * fleet that has just started or is short of processor time answers later than the usual wait.
+ *
  * <p>Thread safety: confined to one thread.
  */
 public final class SlotRateLimiter {
@@ -22,7 +26,7 @@
   private static final long MIN_RETRY_AFTER_MS = 10;
   private static final double MIN_SHORTAGE = 0.05;
 
-  private record QueuedRequest(long ticket, long deadlineNanos) {}
+  private record QueuedRequest(long ticket, long queuedNanos) {}
 
   private record PendingTokenRequest(String peer, String organisation, long sentNanos) {}
 
@@ -31,6 +35,8 @@
     private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
     private long nextRoundNanos = Long.MIN_VALUE;
     private int nextPeer;
+    private boolean peerAnswered;
+    private long lastAnswerNanos;
 
     private OrganisationState(OrganisationTokens tokens) {
       this.tokens = tokens;
@@ -80,16 +86,18 @@
     List<RateLimitAction> actions = new ArrayList<>();
     OrganisationState state = organisations.get(organisation);
     if (state == null) {
-      actions.add(new RateLimitAction.Refuse(ticket, MIN_RETRY_AFTER_MS));
+      actions.add(
+          new RateLimitAction.Refuse(
+              ticket, MIN_RETRY_AFTER_MS, RateLimitAction.Cause.NO_HOLDER_REACHED));
       return actions;
     }
     state.tokens.recordRequest(nowNanos);
     if (state.queue.isEmpty() && state.tokens.tryTake(nowNanos)) {
       actions.add(new RateLimitAction.Admit(ticket));
     } else if (state.queue.size() >= maxQueueLength(state)) {
-      actions.add(new RateLimitAction.Refuse(ticket, retryAfterMs(state)));
+      actions.add(refuse(state, ticket, state.queue.peekFirst().queuedNanos, nowNanos));
     } else {
-      state.queue.addLast(new QueuedRequest(ticket, nowNanos + settings.maxWaitNanos()));
+      state.queue.addLast(new QueuedRequest(ticket, nowNanos));
     }
     sendTokenRequests(organisation, state, nowNanos, actions);
     return actions;
@@ -129,6 +137,8 @@
     }
     OrganisationState state = organisations.get(pending.organisation);
     if (state != null) {
+      state.peerAnswered = true;
+      state.lastAnswerNanos = nowNanos;
       state.tokens.credit(peer, answer, pending.sentNanos);
       serveQueue(state, nowNanos, actions);
       sendTokenRequests(pending.organisation, state, nowNanos, actions);
@@ -152,13 +162,35 @@
       OrganisationState state, long nowNanos, List<RateLimitAction> actions) {
     for (Iterator<QueuedRequest> iterator = state.queue.iterator(); iterator.hasNext(); ) {
       QueuedRequest queued = iterator.next();
-      if (queued.deadlineNanos - nowNanos <= 0) {
+      long maxWaitNanos =
+          isRateKnown(state, queued.queuedNanos, nowNanos)
+              ? settings.maxWaitNanos()
+              : settings.grantValidityNanos();
+      if (nowNanos - queued.queuedNanos >= maxWaitNanos) {
         iterator.remove();
-        actions.add(new RateLimitAction.Refuse(queued.ticket, retryAfterMs(state)));
+        actions.add(refuse(state, queued.ticket, queued.queuedNanos, nowNanos));
       }
     }
   }
 
+  private RateLimitAction refuse(
+      OrganisationState state, long ticket, long queuedNanos, long nowNanos) {
+    RateLimitAction.Cause cause =
+        isRateKnown(state, queuedNanos, nowNanos)
+            ? RateLimitAction.Cause.RATE_EXCEEDED
+            : RateLimitAction.Cause.NO_HOLDER_REACHED;
+    return new RateLimitAction.Refuse(ticket, retryAfterMs(state), cause);
+  }
+
+  /**
+   * Returns whether this instance can tell that the rate is used up: it has a share of its own, or
+   * a peer has answered since {@code sinceNanos}.
+   */
+  private boolean isRateKnown(OrganisationState state, long sinceNanos, long nowNanos) {
+    return share.usableFraction(nowNanos) > 0
+        || state.peerAnswered && state.lastAnswerNanos - sinceNanos >= 0;
+  }
+
   private void sendTokenRequests(
       String organisation, OrganisationState state, long nowNanos, List<RateLimitAction> actions) {
     boolean tooSoon = state.nextRoundNanos != Long.MIN_VALUE && nowNanos - state.nextRoundNanos < 0;
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ConfigService.java
@@ -77,7 +77,8 @@
    *     instead
    * @param sendToDomain sends to all live instances of the own failure domain; other domains watch
    *     the store themselves
-   * @param onChange called on the control worker with new settings
+   * @param onChange called on the control worker with new settings, before {@link #settings}
+   *     returns them: a request with a key of theirs finds the rate limits already set
    */
   public ConfigService(
       Worker worker,
@@ -266,12 +267,12 @@
   }
 
   private void publish(Settings newSettings, SettingsReader reader) {
-    settings = newSettings;
     for (SettingsProblem problem : reader.problems()) {
       Logger.warn("event=settings_problem detail=\"{}\"", problem);
     }
+    onChange.accept(newSettings);
+    settings = newSettings;
     Logger.info("event=settings_in_force entry={}", log.lastApplied());
-    onChange.accept(settings);
   }
 
   private void propose(Proposal proposal, int retriesLeft) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/ControlService.java
@@ -200,7 +200,7 @@
     } else if (message instanceof GrantAnswer answer) {
       rateLimits.onGrantAnswer(peer, answer);
     } else if (message instanceof Heartbeat heartbeat) {
-      worker.submit(() -> membership.onHeartbeat(heartbeat, System.nanoTime()));
+      worker.submit(() -> onHeartbeat(heartbeat));
       config.onPeerEntry(peer, heartbeat.configEntry());
     } else if (message instanceof Alive alive) {
       worker.submit(() -> membership.onAlive(peer, alive, System.nanoTime()));
@@ -259,7 +259,14 @@
   private void settingsChanged(Settings settings) {
     rateLimits.setLimits(settings);
     slots.applySettings(settings);
-    publishShare();
+    publishShare(settings);
+  }
+
+  private void onHeartbeat(Heartbeat heartbeat) {
+    if (membership.onHeartbeat(heartbeat, System.nanoTime())) {
+      livePeers = membership.livePeers();
+      publishShare();
+    }
   }
 
   private void tick(long nowNanos) {
@@ -344,6 +351,10 @@
   }
 
   private void publishShare() {
+    publishShare(config.settings());
+  }
+
+  private void publishShare(Settings settings) {
     long nowNanos = System.nanoTime();
     slot = slots.slot(nowNanos);
     Map<Integer, String> holders = Membership.slotHolders(livePeers);
@@ -356,6 +367,6 @@
     }
     router.setSlotHolders(holders);
     rateLimits.setShare(slots.share(), tokenLenders(live));
-    home.update(config.settings(), slot, slots.share(), holders, leavingTargets);
+    home.update(settings, slot, slots.share(), holders, leavingTargets);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
@@ -74,7 +74,7 @@
     membership = new Membership(self, failureDomain, HEARTBEAT_TIMEOUT_NANOS, DIGEST_TIMEOUT_NANOS);
   }
 
-  /** Returns the peers that were live at the last tick. */
+  /** Returns the peers that were live at the last tick, and those first heard from since. */
   List<Heartbeat> livePeers() {
     return livePeers;
   }
@@ -84,8 +84,20 @@
     return relay;
   }
 
-  void onHeartbeat(Heartbeat heartbeat, long nowNanos) {
+  /**
+   * Handles a heartbeat and returns whether its sender was not live before. Such a peer counts as
+   * live at once: at the next tick it would be too late for an instance that has just started and
+   * gets its settings from this peer in the meantime.
+   */
+  boolean onHeartbeat(Heartbeat heartbeat, long nowNanos) {
     membership.onHeartbeat(heartbeat, nowNanos);
+    boolean known =
+        heartbeat.instance().equals(self)
+            || livePeers.stream().anyMatch(peer -> peer.instance().equals(heartbeat.instance()));
+    if (!known) {
+      livePeers = membership.livePeers(nowNanos);
+    }
+    return !known;
   }
 
   void onAlive(String peer, Alive alive, long nowNanos) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/control/RateLimitService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/RateLimitService.java
@@ -32,8 +32,8 @@
     /** The request is admitted. */
     void admitted();
 
-    /** The request exceeds the rate; it may be retried after {@code retryAfterMs}. */
-    void refused(long retryAfterMs);
+    /** The request is refused for {@code cause}; it may be retried after {@code retryAfterMs}. */
+    void refused(RateLimitAction.Cause cause, long retryAfterMs);
   }
 
   private final Worker worker;
@@ -61,7 +61,7 @@
               perform(limiter.acquire(organisation, ticket, System.nanoTime()));
             });
     if (!queued) {
-      listener.refused(QUEUE_FULL_RETRY_MS);
+      listener.refused(RateLimitAction.Cause.RATE_EXCEEDED, QUEUE_FULL_RETRY_MS);
     }
   }
 
@@ -103,7 +103,7 @@
       if (action instanceof RateLimitAction.Admit admit) {
         pendingListeners.remove(admit.ticket()).admitted();
       } else if (action instanceof RateLimitAction.Refuse refuse) {
-        pendingListeners.remove(refuse.ticket()).refused(refuse.retryAfterMs());
+        pendingListeners.remove(refuse.ticket()).refused(refuse.cause(), refuse.retryAfterMs());
       } else if (action instanceof RateLimitAction.RequestTokens tokenRequest) {
         peers.send(tokenRequest.peer(), tokenRequest.request());
       } else if (action instanceof RateLimitAction.Grant grant) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/intake/CallerHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/CallerHandler.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.config.Settings;
 import io.hickorydrift.core.error.ProxyException;
 import io.hickorydrift.core.error.ResultCode;
+import io.hickorydrift.core.limit.RateLimitAction;
 import io.hickorydrift.core.message.CallerAnswer;
 import io.hickorydrift.core.message.ForwardAnswer;
 import io.hickorydrift.core.message.ForwardRequest;
@@ -39,6 +40,8 @@
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final long BODY_TIMEOUT_MS = 5_000;
   private static final long STOPPING_RETRY_AFTER_MS = 100;
+  private static final String NO_HOLDER_REACHED =
+      "no instance that holds a share of the organisation's rate limit answers";
 
   private final String instance;
   private final Supplier<Settings> settings;
@@ -143,12 +146,18 @@
           }
 
           @Override
-          public void refused(long retryAfterMs) {
-            exchange.refuse(new ProxyException(ResultCode.RATE_EXCEEDED, null, retryAfterMs));
+          public void refused(RateLimitAction.Cause cause, long retryAfterMs) {
+            exchange.refuse(toRefusal(cause, retryAfterMs));
           }
         });
   }
 
+  private static ProxyException toRefusal(RateLimitAction.Cause cause, long retryAfterMs) {
+    return cause == RateLimitAction.Cause.NO_HOLDER_REACHED
+        ? new ProxyException(ResultCode.OVERLOADED, NO_HOLDER_REACHED, retryAfterMs)
+        : new ProxyException(ResultCode.RATE_EXCEEDED, null, retryAfterMs);
+  }
+
   private void route(ForwardRequest request, Exchange exchange) {
     router.route(request, settings.get(), exchange::respond);
   }
