--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.evacuation.Evacuations;
 import io.hickorydrift.core.placement.UnknownRegions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.proxy.metrics.Metrics;
@@ -73,6 +74,7 @@
   private final KeyValueStore store;
   private final PromotionClient promotionClient;
   private final CommitConfirmations confirmations;
+  private final EvacuationService evacuations;
   private final Metrics metrics = new Metrics();
   private final StoreEra era = new StoreEra();
   private final GatewayContext context;
@@ -96,7 +98,10 @@
             new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
-    directory = new Directory(this::onTargetRemoved);
+    Evacuations evacuated = new Evacuations();
+    evacuations =
+        new EvacuationService(loop, platform, evacuated, metrics, settings.evacuationMs() / 2);
+    directory = new Directory(this::onTargetRemoved, evacuated);
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
@@ -131,7 +136,7 @@
             homes,
             settings.id());
     StoreContents contents =
-        new StoreContents(loop, platform, declarations, directory, fleet, peers::isUp);
+        new StoreContents(loop, platform, declarations, directory, fleet, evacuations, peers::isUp);
     relay = new RelayService(exchange, declarations, contents::items);
     sync =
         new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
@@ -157,7 +162,8 @@
             metrics,
             homes,
             confirmations,
-            settings.regions());
+            settings.regions(),
+            evacuations);
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
@@ -210,6 +216,7 @@
     promotionClient.setAddress(settings.promotionAddress());
     fleet.setOwnEntry(settings.fleetEntry());
     confirmations.setPolicy(settings.acknowledgement().policy());
+    evacuations.setGraceMs(settings.evacuationMs() / 2);
   }
 
   private void onTargetRemoved(TargetState target) {
@@ -320,6 +327,7 @@
       return;
     }
     long nowNanos = loop.nowNanos();
+    evacuations.tick();
     pools.tick(nowNanos);
     limits.tick();
     sync.tick();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -90,6 +90,11 @@
       refuseForRegion();
       return;
     }
+    String evacuated = context.evacuations().refusalReason(group);
+    if (evacuated != null) {
+      refuse(group, evacuated);
+      return;
+    }
     Position atLeast = replicasAllowed ? lowerBound(group) : null;
     TargetState target =
         atLeast == null
@@ -243,7 +248,7 @@
             group.recoveryEstimator().expectedRecoveryAfterFailureMs(nowNanos),
             TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos));
     if (refuseAfterMs != HoldPolicy.HOLD) {
-      listener.exhausted(lastFailureReason + "; retry in " + refuseAfterMs + " ms");
+      refuse(group, lastFailureReason + "; retry in " + refuseAfterMs + " ms");
       return;
     }
     context
@@ -256,6 +261,11 @@
             });
   }
 
+  private void refuse(GroupState group, String reason) {
+    context.evacuations().recordRefusal(group);
+    listener.exhausted(reason);
+  }
+
   private boolean hasUsableTarget(GroupState group) {
     long nowNanos = context.loop().nowNanos();
     TargetState primary = group.primary();
