Share connections fairly and limit idle transactions

Cause: callers that stay idle inside transactions hold the connections of a target for seconds, and the connections of a flooding organisation never become idle, so that others cannot replace them.

Change: in groups with urgent work, requests wait in FairWaitQueue (aged priority, then start-time fair queueing over organisations); a connection that becomes free may make room (FreedConnectionPolicy); idle transactions beyond IdleTransactionLimits are rolled back while statements wait, and their callers get ABORTED at the next statement. Other groups keep PriorityWaitQueue; both implement WaitQueue. TargetPool moves its queue, demand and failed attempts into classes of their own.

Ruled out: PriorityFairQueue as it is, since it charges organisations for work that expired; rolling back for probes of the instance itself, which ended transactions while no caller waited.

Runs: ConnectionOrderReplayTest, FairWaitQueueTest, IdleTransactionLimitsTest, FreedConnectionPolicyTest, PriorityWaitQueueTest, PromotionAttemptTest, GatewayIdleTransactionTest, BoundaryTest: passed.

--- a/core/src/main/java/io/hickorydrift/core/admission/PriorityWaitQueue.java
+++ b/core/src/main/java/io/hickorydrift/core/admission/PriorityWaitQueue.java
@@ -1,5 +1,7 @@
 package io.hickorydrift.core.admission;
 
+import io.hickorydrift.core.scheduling.WaitQueue;
+import io.hickorydrift.core.scheduling.WaitingRequest;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedList;
@@ -15,11 +17,16 @@
  *
  * @param <T> type of the queued items
  */
-public final class PriorityWaitQueue<T> {
+public final class PriorityWaitQueue<T> implements WaitQueue<T> {
   private record Entry<T>(int priority, long deadlineNanos, T item) {}
 
   private final LinkedList<Entry<T>> entries = new LinkedList<>();
 
+  @Override
+  public void add(WaitingRequest request, T item) {
+    add(request.priority(), request.deadlineNanos(), item);
+  }
+
   /** Adds an item of {@code priority}, 0 being the most urgent, that may wait until a deadline. */
   public void add(int priority, long deadlineNanos, T item) {
     int index = entries.size();
@@ -32,6 +39,11 @@
     entries.add(index, new Entry<>(priority, deadlineNanos, item));
   }
 
+  @Override
+  public T poll(Predicate<T> eligible, long nowNanos) {
+    return poll(eligible);
+  }
+
   /** Removes and returns the first item that matches {@code eligible}, or null. */
   public T poll(Predicate<T> eligible) {
     for (Iterator<Entry<T>> each = entries.iterator(); each.hasNext(); ) {
@@ -44,7 +56,7 @@
     return null;
   }
 
-  /** Removes and returns all items whose deadline is past. */
+  @Override
   public List<T> removeExpired(long nowNanos) {
     List<T> expired = new ArrayList<>();
     for (Iterator<Entry<T>> each = entries.iterator(); each.hasNext(); ) {
@@ -57,6 +69,11 @@
     return expired;
   }
 
+  @Override
+  public List<T> items(long nowNanos) {
+    return items();
+  }
+
   /** Returns all queued items, in order. */
   public List<T> items() {
     List<T> items = new ArrayList<>(entries.size());
@@ -64,7 +81,16 @@
     return items;
   }
 
-  /** Returns whether the queue is empty. */
+  @Override
+  public int count(Predicate<T> filter) {
+    int count = 0;
+    for (Entry<T> entry : entries) {
+      count += filter.test(entry.item) ? 1 : 0;
+    }
+    return count;
+  }
+
+  @Override
   public boolean isEmpty() {
     return entries.isEmpty();
   }
--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -0,0 +1,277 @@
+package io.hickorydrift.core.scheduling;
+
+import io.hickorydrift.core.admission.PriorityWaitQueue;
+import io.hickorydrift.core.connection.ConnectionEvictor;
+import io.hickorydrift.core.connection.EvictionPolicy;
+import io.hickorydrift.core.connection.OpeningPolicy;
+import io.hickorydrift.core.scheduling.ReplayedRequest.Result;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The pool of one target at its home, in replayed time: the decisions of the product, and
+ * connections that do nothing but wait. With {@code scheduled}, the rules of groups with urgent
+ * work; else those of all others.
+ */
+final class ReplayedPool {
+  private static final long OPEN_NANOS = 12_000_000L;
+  private static final long MAX_WAIT_NANOS = 400_000_000L;
+  private static final long TICK_NANOS = 50_000_000L;
+  private static final long BACKOFF_NANOS = 15_000_000L;
+  private static final int MAX_OPENING = 2;
+
+  private static final class Connection {
+    private final String organisation;
+    private boolean open;
+    private ReplayedRequest holder;
+    private boolean running;
+
+    private Connection(String organisation) {
+      this.organisation = organisation;
+    }
+  }
+
+  private record Waiter(WaitingRequest request, ReplayedRequest replayed) {}
+
+  private final ReplayedClock clock;
+  private final ReplayedTarget target;
+  private final int budget;
+  private final boolean scheduled;
+  private final WaitQueue<Waiter> queue;
+  private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
+  private final List<Connection> connections = new ArrayList<>();
+  private final List<Connection> idle = new ArrayList<>();
+
+  ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
+    this.clock = clock;
+    this.target = target;
+    this.budget = budget;
+    this.scheduled = scheduled;
+    queue = scheduled ? new FairWaitQueue<>() : new PriorityWaitQueue<>();
+    clock.after(TICK_NANOS, this::tick);
+  }
+
+  void start(ReplayedRequest request) {
+    evictor.recordUse(request.organisation, clock.nowNanos());
+    for (int i = idle.size() - 1; i >= 0; i--) {
+      if (idle.get(i).organisation.equals(request.organisation)) {
+        begin(idle.remove(i), request);
+        return;
+      }
+    }
+    long deadlineNanos = request.arrivalNanos + MAX_WAIT_NANOS;
+    queue.add(
+        new WaitingRequest(
+            request.organisation,
+            request.priority,
+            clock.nowNanos(),
+            request.arrivalNanos,
+            request.objectiveNanos,
+            deadlineNanos,
+            request.serviceNanos[0]),
+        new Waiter(
+            new WaitingRequest(
+                request.organisation,
+                request.priority,
+                clock.nowNanos(),
+                request.arrivalNanos,
+                request.objectiveNanos,
+                deadlineNanos,
+                request.serviceNanos[0]),
+            request));
+    openForWaiting();
+  }
+
+  private void begin(Connection connection, ReplayedRequest request) {
+    connection.holder = request;
+    runNext(connection);
+  }
+
+  private void runNext(Connection connection) {
+    ReplayedRequest request = connection.holder;
+    connection.running = true;
+    target.run(
+        request.serviceNanos[request.nextStatement],
+        ran -> {
+          connection.running = false;
+          request.lastUsedNanos = clock.nowNanos();
+          answered(connection, request, ran);
+        });
+  }
+
+  private void answered(Connection connection, ReplayedRequest request, boolean ran) {
+    if (!ran && request.nextStatement > 0) {
+      clock.after(BACKOFF_NANOS, () -> runNext(connection));
+      connection.running = true;
+    } else if (!ran) {
+      release(connection);
+      if (clock.nowNanos() - request.arrivalNanos > MAX_WAIT_NANOS) {
+        end(request, Result.REFUSED);
+      } else {
+        clock.after(BACKOFF_NANOS, () -> start(request));
+      }
+    } else if (++request.nextStatement == request.serviceNanos.length) {
+      end(request, Result.SERVED);
+      release(connection);
+    } else {
+      clock.after(
+          request.pauseNanos,
+          () -> {
+            if (connection.holder == request) {
+              runNext(connection);
+            } else {
+              end(request, Result.ABORTED);
+            }
+          });
+    }
+  }
+
+  private void end(ReplayedRequest request, Result result) {
+    request.result = result;
+    request.endNanos = clock.nowNanos();
+  }
+
+  private void release(Connection connection) {
+    connection.holder = null;
+    if (scheduled && openingCount() == 0 && makesRoom(connection)) {
+      connections.remove(connection);
+      openForWaiting();
+      return;
+    }
+    handOver(connection);
+  }
+
+  private boolean makesRoom(Connection connection) {
+    Waiter own = firstOf(connection.organisation);
+    for (Waiter first : queue.items(clock.nowNanos())) {
+      if (own == null || first == own) {
+        return false;
+      }
+      if (decide(first) == OpeningPolicy.Decision.REPLACE) {
+        Set<String> organisations = new HashSet<>();
+        connections.forEach(each -> organisations.add(each.organisation));
+        queue.items(clock.nowNanos()).forEach(w -> organisations.add(w.request.organisation()));
+        return FreedConnectionPolicy.makesRoom(
+            first.request,
+            own.request,
+            (int) countOf(connection.organisation),
+            budget / organisations.size(),
+            clock.nowNanos());
+      }
+    }
+    return false;
+  }
+
+  private Waiter firstOf(String organisation) {
+    return queue.items(clock.nowNanos()).stream()
+        .filter(waiter -> waiter.request.organisation().equals(organisation))
+        .findFirst()
+        .orElse(null);
+  }
+
+  private long countOf(String organisation) {
+    return connections.stream().filter(each -> each.organisation.equals(organisation)).count();
+  }
+
+  private void handOver(Connection connection) {
+    Waiter next =
+        queue.poll(
+            waiter -> waiter.request.organisation().equals(connection.organisation),
+            clock.nowNanos());
+    if (next != null) {
+      begin(connection, next.replayed);
+      return;
+    }
+    idle.add(connection);
+    openForWaiting();
+  }
+
+  private long openingCount() {
+    return connections.stream().filter(each -> !each.open).count();
+  }
+
+  private OpeningPolicy.Decision decide(Waiter waiter) {
+    String organisation = waiter.request.organisation();
+    int open = 0;
+    int opening = 0;
+    for (Connection each : connections) {
+      if (each.organisation.equals(organisation)) {
+        open += each.open ? 1 : 0;
+        opening += each.open ? 0 : 1;
+      }
+    }
+    int waiting = queue.count(each -> each.request.organisation().equals(organisation));
+    return OpeningPolicy.decide(
+        new OpeningPolicy.Demand(open, opening, waiting, Integer.MAX_VALUE),
+        connections.size() >= budget,
+        clock.nowNanos() - waiter.request.sinceNanos());
+  }
+
+  private void openForWaiting() {
+    for (Waiter next : queue.items(clock.nowNanos())) {
+      if (openingCount() >= MAX_OPENING) {
+        return;
+      }
+      OpeningPolicy.Decision decision = decide(next);
+      if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
+        endIdleTransactions();
+        return;
+      }
+      if (decision != OpeningPolicy.Decision.WAIT) {
+        open(next.request.organisation());
+      }
+    }
+  }
+
+  private void open(String organisation) {
+    Connection connection = new Connection(organisation);
+    connections.add(connection);
+    target.run(
+        OPEN_NANOS,
+        opened -> {
+          if (opened) {
+            connection.open = true;
+            handOver(connection);
+          } else {
+            connections.remove(connection);
+          }
+        });
+  }
+
+  private boolean evictOne() {
+    if (idle.isEmpty()) {
+      return false;
+    }
+    List<String> organisations = new ArrayList<>();
+    idle.forEach(each -> organisations.add(each.organisation));
+    connections.remove(idle.remove(evictor.selectVictim(organisations, clock.nowNanos())));
+    return true;
+  }
+
+  private void endIdleTransactions() {
+    if (!scheduled) {
+      return;
+    }
+    List<IdleTransactionLimits.Held<Connection>> held = new ArrayList<>();
+    for (Connection each : connections) {
+      if (each.holder != null && each.holder.isTransaction()) {
+        long lastUsedNanos = each.running ? clock.nowNanos() : each.holder.lastUsedNanos;
+        held.add(new IdleTransactionLimits.Held<>(each.organisation, lastUsedNanos, each));
+      }
+    }
+    int lacking = queue.count(each -> decide(each) == OpeningPolicy.Decision.REPLACE);
+    IdleTransactionLimits.excess(held, budget, clock.nowNanos()).stream()
+        .limit(lacking)
+        .forEach(this::release);
+  }
+
+  private void tick() {
+    for (Waiter late : queue.removeExpired(clock.nowNanos())) {
+      end(late.replayed, Result.REFUSED);
+    }
+    openForWaiting();
+    clock.after(TICK_NANOS, this::tick);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
@@ -0,0 +1,114 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.admission.PriorityWaitQueue;
+import io.hickorydrift.core.scheduling.FairWaitQueue;
+import io.hickorydrift.core.scheduling.WaitQueue;
+import io.hickorydrift.core.scheduling.WaitingRequest;
+import io.hickorydrift.proxy.net.EventLoop;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The requests that wait for a connection to one target: in fair order if the group has urgent
+ * work, else by priority and arrival.
+ *
+ * <p>Thread safety: confined to the loop's thread.
+ */
+final class ConnectionWaiters {
+  /**
+   * A request and its listener.
+   *
+   * @param forStatement whether a caller's statement waits, rather than an exchange of the instance
+   */
+  record Waiter(WaitingRequest request, TargetPool.AcquireListener listener, boolean forStatement) {
+    String organisation() {
+      return request.organisation();
+    }
+  }
+
+  private final EventLoop loop;
+  private final BooleanSupplier urgent;
+  private WaitQueue<Waiter> queue = new PriorityWaitQueue<>();
+  private boolean fair;
+
+  ConnectionWaiters(EventLoop loop, BooleanSupplier urgent) {
+    this.loop = loop;
+    this.urgent = urgent;
+  }
+
+  /** Returns whether the group has urgent work, so that its connections are shared fairly. */
+  boolean isFair() {
+    return fair;
+  }
+
+  /** Changes the order if the declaration has given the group urgent work, or taken it away. */
+  void updateOrder() {
+    if (fair == urgent.getAsBoolean()) {
+      return;
+    }
+    List<Waiter> waiting = items();
+    fair = !fair;
+    queue = fair ? new FairWaitQueue<>() : new PriorityWaitQueue<>();
+    waiting.forEach(waiter -> queue.add(waiter.request, waiter));
+  }
+
+  void add(Waiter waiter) {
+    updateOrder();
+    queue.add(waiter.request, waiter);
+  }
+
+  /** Removes and returns the first request of {@code organisation}, or null. */
+  Waiter poll(String organisation) {
+    return queue.poll(waiter -> waiter.organisation().equals(organisation), loop.nowNanos());
+  }
+
+  /** Returns the first request of {@code organisation}, or null. */
+  Waiter first(String organisation) {
+    for (Waiter waiter : items()) {
+      if (waiter.organisation().equals(organisation)) {
+        return waiter;
+      }
+    }
+    return null;
+  }
+
+  /** Returns all requests, in order. */
+  List<Waiter> items() {
+    return queue.items(loop.nowNanos());
+  }
+
+  int count(String organisation) {
+    return queue.count(waiter -> waiter.organisation().equals(organisation));
+  }
+
+  int count() {
+    return queue.count(any -> true);
+  }
+
+  boolean isEmpty() {
+    return queue.isEmpty();
+  }
+
+  void refuseAll(String reason) {
+    for (Waiter next = pollAny(); next != null; next = pollAny()) {
+      next.listener.refused(reason);
+    }
+  }
+
+  private Waiter pollAny() {
+    return queue.poll(any -> true, loop.nowNanos());
+  }
+
+  void refuseOne(String organisation, String reason) {
+    Waiter next = poll(organisation);
+    if (next != null) {
+      next.listener.refused(reason);
+    }
+  }
+
+  void refuseExpired(long nowNanos) {
+    for (Waiter late : queue.removeExpired(nowNanos)) {
+      late.listener.refused("no connection in time");
+    }
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -95,7 +95,7 @@
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
     homes = new HomeRouter(loop, declarations, fleet, settings.id(), settings.regions());
-    pools = new TargetPools(loop, platform.targetCodec(), homes);
+    pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
     directory = new Directory(this::onTargetRemoved);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
@@ -219,6 +219,7 @@
         declarations::proofAgeMs);
     metrics.registerGauge(
         "target_connections", "Open connections to targets", pools::connectionCount);
+    new SchedulingMetrics(loop, pools).register(metrics);
     metrics.registerGauge(
         "ready", "1 if the instance accepts new sessions, else 0", () -> isReady() ? 1 : 0);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -21,6 +21,8 @@
 final class LocalTransaction implements TargetSearch.Listener, OpenTransaction {
   private static final long ATTEMPT_TIMEOUT_NANOS = 350_000_000L;
   private static final long BUSY_RETRY_DELAY_MS = 10;
+  private static final String ENDED_IDLE =
+      "transaction was idle while others waited for its connection and was rolled back";
 
   private final GatewayContext context;
   private final Route route;
@@ -32,6 +34,7 @@
   private TargetConnection connection;
   private boolean wrote;
   private boolean ended;
+  private boolean endedIdle;
   private Statement statement;
   private long deadlineNanos;
   private Consumer<StatementOutcome> onOutcome;
@@ -65,6 +68,10 @@
 
   @Override
   public void run(Statement next, long receivedNanos, Consumer<StatementOutcome> onResult) {
+    if (endedIdle) {
+      onResult.accept(StatementOutcome.failed(FailureCode.ABORTED, ENDED_IDLE, stateAfter(next)));
+      return;
+    }
     statement = next;
     onOutcome = onResult;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
@@ -97,6 +104,7 @@
       context.recordPrimaryPosition(context.directory().group(route.group()), reply);
     }
     connection = found;
+    context.pool(found.target()).held().add(found, this);
     if (ended) {
       finish();
       return;
@@ -204,10 +212,11 @@
 
   @Override
   public void exhausted(String reason) {
-    boolean commit = statement.kind() == StatementKind.COMMIT;
-    complete(
-        StatementOutcome.failed(
-            FailureCode.BUSY, reason, commit ? SessionState.IDLE : SessionState.FAILED));
+    complete(StatementOutcome.failed(FailureCode.BUSY, reason, stateAfter(statement)));
+  }
+
+  private static SessionState stateAfter(Statement failed) {
+    return failed.kind() == StatementKind.COMMIT ? SessionState.IDLE : SessionState.FAILED;
   }
 
   private void complete(StatementOutcome outcome) {
@@ -225,6 +234,17 @@
     finish();
   }
 
+  /**
+   * Rolls the transaction back because it is idle and others wait for its connection. Its next
+   * statement is told so. Has no effect while a statement runs.
+   */
+  void endIdle() {
+    if (onOutcome == null && !ended) {
+      endedIdle = true;
+      finish();
+    }
+  }
+
   /**
    * Ends the transaction and releases its connection; rolls back a transaction that is still open
    * at the target.
@@ -237,6 +257,7 @@
     TargetConnection used = connection;
     connection = null;
     TargetPool pool = context.pool(used.target());
+    pool.held().remove(used);
     if (!used.isOpen() || used.state() == SessionState.IDLE && !used.hasPendingCommands()) {
       pool.release(used);
     } else if (used.hasPendingCommands()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -1,10 +1,10 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.admission.PriorityWaitQueue;
 import io.hickorydrift.core.connection.ConnectionEvictor;
 import io.hickorydrift.core.connection.EvictionPolicy;
 import io.hickorydrift.core.connection.OpeningPolicy;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.scheduling.WaitingRequest;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -13,12 +13,13 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.tinylog.Logger;
 
 /**
  * Connection pool of one target; each connection belongs to one organisation. Requests that find no
- * connection of their organisation wait in a priority queue. If the pool is full, the idle
+ * connection of their organisation wait ({@link ConnectionWaiters}). If the pool is full, the idle
  * connection that is least likely to be needed soon is evicted.
  *
  * <p>Invariant: never more connections than the budget allows, except those in use when it shrank.
@@ -28,18 +29,10 @@
   // Opening a connection takes tens of milliseconds; a target that does not respond within this
   // timeout is unreachable.
   private static final long OPEN_TIMEOUT_MS = 1_000;
-  private static final long OPEN_RETRY_DELAY_NANOS = 150_000_000L;
   // Opening a connection occupies a target slot that could run a statement, so only a few
   // connections are opened at the same time.
   private static final int MAX_OPENING = 2;
-  private static final int UNREACHABLE_AFTER_FAILURES = 2;
-  // A target drops the connections of a client that lost power after 3 s, and an instance that was
-  // the home closes its connections within a few ticks.
-  private static final long FULL_RETRY_DELAY_NANOS = 250_000_000L;
   private static final long RECENTLY_RECEIVED_NANOS = 400_000_000L;
-  // Part of the connections for callers without a key; as large as the part that is left free for
-  // restarts, so that a flood of them leaves half of a target's connections to the organisations.
-  private static final double ANONYMOUS_SHARE = 0.25;
   private static final String RULED_OUT_REASON = "another process answers at the target's address";
 
   /** Receives the result of a request for a connection. */
@@ -51,8 +44,6 @@
     void refused(String reason);
   }
 
-  private record PendingAcquire(String organisation, long sinceNanos, AcquireListener listener) {}
-
   private final EventLoop loop;
   private final TargetCodec codec;
   private final TargetState target;
@@ -60,24 +51,44 @@
   private final List<TargetConnection> connections = new ArrayList<>();
   private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
   private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
-  private final PriorityWaitQueue<PendingAcquire> waitQueue = new PriorityWaitQueue<>();
-  private long nextOpenNanos = Long.MIN_VALUE;
-  private long fullUntilNanos = Long.MIN_VALUE;
+  private final ConnectionWaiters waiters;
+  private final HeldConnections held;
+  private final OpenAttempts attempts;
+  private final ConnectionDemand demand;
   private boolean draining;
   private boolean evicting;
-  private int failedOpens;
 
-  TargetPool(EventLoop loop, TargetCodec codec, TargetState target, IntSupplier budget) {
+  /** Creates a pool; {@code urgent} tells whether the target's group has urgent work. */
+  TargetPool(
+      EventLoop loop,
+      TargetCodec codec,
+      TargetState target,
+      IntSupplier budget,
+      BooleanSupplier urgent) {
     this.loop = loop;
     this.codec = codec;
     this.target = target;
     this.budget = budget;
+    waiters = new ConnectionWaiters(loop, urgent);
+    held = new HeldConnections(target);
+    attempts = new OpenAttempts(loop, target);
+    demand = new ConnectionDemand(loop, connections, waiters, budget);
   }
 
   TargetState target() {
     return target;
   }
 
+  /** Returns the connections that open transactions hold. */
+  HeldConnections held() {
+    return held;
+  }
+
+  /** Returns the number of requests that wait for a connection. */
+  int waitingCount() {
+    return waiters.count();
+  }
+
   /** Returns the number of connections, open or opening. */
   int size() {
     return connections.size();
@@ -121,10 +132,24 @@
     return own == null ? pollIdle() : own;
   }
 
-  /**
-   * Requests a connection of {@code organisation}; requests of higher priority are served first.
-   */
+  /** Requests a connection for an exchange of the instance's own, which runs no statement. */
   void acquire(String organisation, int priority, long deadlineNanos, AcquireListener listener) {
+    long nowNanos = loop.nowNanos();
+    long objectiveNanos = Math.max(0, deadlineNanos - nowNanos);
+    WaitingRequest request =
+        new WaitingRequest(
+            organisation, priority, nowNanos, nowNanos, objectiveNanos, deadlineNanos, 0);
+    acquire(new ConnectionWaiters.Waiter(request, listener, false));
+  }
+
+  /** Requests a connection for a statement. */
+  void acquire(WaitingRequest request, AcquireListener listener) {
+    acquire(new ConnectionWaiters.Waiter(request, listener, true));
+  }
+
+  private void acquire(ConnectionWaiters.Waiter waiter) {
+    String organisation = waiter.organisation();
+    AcquireListener listener = waiter.listener();
     if (draining) {
       listener.refused("pool is draining");
       return;
@@ -144,17 +169,17 @@
       probeTarget(organisation);
       return;
     }
-    if (isFull() && connections.isEmpty()) {
+    if (attempts.isFull() && connections.isEmpty()) {
       listener.refused("target has no free connection");
       return;
     }
-    waitQueue.add(
-        priority, deadlineNanos, new PendingAcquire(organisation, loop.nowNanos(), listener));
+    waiters.add(waiter);
     openForWaiting();
   }
 
   /** Returns a connection to the pool, or closes it if it cannot be reused. */
   void release(TargetConnection connection) {
+    held.onFreed(connection);
     if (!connection.isOpen()) {
       return;
     }
@@ -167,10 +192,19 @@
   }
 
   private void makeAvailable(TargetConnection connection) {
-    PendingAcquire next =
-        waitQueue.poll(each -> each.organisation.equals(connection.organisation()));
+    boolean mayOpen = demand.openingCount() == 0 && !attempts.isFull();
+    if (!mayOpen || !demand.makesRoom(connection.organisation())) {
+      handOver(connection);
+      return;
+    }
+    closeIdle(connection, "makes room");
+    openForWaiting();
+  }
+
+  private void handOver(TargetConnection connection) {
+    ConnectionWaiters.Waiter next = waiters.poll(connection.organisation());
     if (next != null) {
-      next.listener.acquired(connection);
+      next.listener().acquired(connection);
       return;
     }
     idle.addLast(connection);
@@ -189,34 +223,33 @@
   }
 
   private void openForWaiting() {
-    if (nextOpenNanos != Long.MIN_VALUE && nextOpenNanos - loop.nowNanos() > 0) {
+    if (!attempts.mayOpen()) {
       return;
     }
-    for (PendingAcquire next : waitQueue.items()) {
-      if (openingCount() >= MAX_OPENING) {
+    for (ConnectionWaiters.Waiter next : waiters.items()) {
+      if (demand.openingCount() >= MAX_OPENING) {
         return;
       }
-      boolean poolFull = connections.size() >= budget.getAsInt() || isFull();
-      OpeningPolicy.Decision decision =
-          OpeningPolicy.decide(
-              demand(next.organisation), poolFull, loop.nowNanos() - next.sinceNanos);
+      OpeningPolicy.Decision decision = demand.decide(next.request(), attempts.isFull());
       if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
+        endIdleTransactions();
         return;
       }
       if (decision != OpeningPolicy.Decision.WAIT) {
-        open(next.organisation);
+        open(next.organisation());
       }
     }
   }
 
-  /** Returns whether connections cannot be opened and none has received data recently. */
-  boolean isUnreachable() {
-    return failedOpens >= UNREACHABLE_AFTER_FAILURES && !receivedRecently();
+  private void endIdleTransactions() {
+    if (waiters.isFair()) {
+      held.endExcess(budget.getAsInt(), demand::lackingCount, loop.nowNanos());
+    }
   }
 
-  /** Returns whether the target refused a connection beyond its limit within the retry delay. */
-  private boolean isFull() {
-    return fullUntilNanos != Long.MIN_VALUE && fullUntilNanos - loop.nowNanos() > 0;
+  /** Returns whether connections cannot be opened and none has received data recently. */
+  boolean isUnreachable() {
+    return attempts.haveFailed() && !receivedRecently();
   }
 
   private boolean receivedRecently() {
@@ -225,8 +258,9 @@
 
   /** Opens one connection, to detect whether an unreachable target is reachable again. */
   private void probeTarget(String organisation) {
-    boolean due = nextOpenNanos == Long.MIN_VALUE || nextOpenNanos - loop.nowNanos() <= 0;
-    if (due && openingCount() == 0 && connections.size() < budget.getAsInt()) {
+    if (attempts.mayOpen()
+        && demand.openingCount() == 0
+        && connections.size() < budget.getAsInt()) {
       open(organisation);
     }
   }
@@ -247,59 +281,20 @@
     return true;
   }
 
-  /**
-   * Returns how many connections {@code organisation} may have. Callers without a key, which no
-   * rate bounds, get a share that leaves most of the pool to the organisations.
-   */
-  private int maxConnections(String organisation) {
-    boolean anonymous = organisation.equals(AdmissionDecision.NO_ORGANISATION);
-    return anonymous ? Math.max(1, (int) (budget.getAsInt() * ANONYMOUS_SHARE)) : Integer.MAX_VALUE;
-  }
-
-  private OpeningPolicy.Demand demand(String organisation) {
-    int open = 0;
-    int opening = 0;
-    for (TargetConnection connection : connections) {
-      if (connection.organisation().equals(organisation)) {
-        open += connection.isOpen() ? 1 : 0;
-        opening += connection.isOpen() ? 0 : 1;
-      }
-    }
-    return new OpeningPolicy.Demand(
-        open, opening, waitingCount(organisation), maxConnections(organisation));
-  }
-
-  private int openingCount() {
-    int count = 0;
-    for (TargetConnection connection : connections) {
-      count += connection.isOpen() ? 0 : 1;
-    }
-    return count;
-  }
-
-  private int waitingCount(String organisation) {
-    int count = 0;
-    for (PendingAcquire each : waitQueue.items()) {
-      if (each.organisation.equals(organisation)) {
-        count++;
-      }
-    }
-    return count;
-  }
-
   void onOpened(TargetConnection connection) {
-    failedOpens = 0;
+    attempts.succeeded();
     if (draining) {
       connection.close("pool is draining");
       return;
     }
-    makeAvailable(connection);
+    // Not subject to makesRoom: closing it unused would waste the time that it took to open.
+    handOver(connection);
     openForWaiting();
   }
 
   void onOpenFailed(TargetConnection connection, FailureCode code, String reason) {
     connections.remove(connection);
-    recordFailedOpen(code);
+    attempts.failed(code);
     Logger.info(
         "event=open_failed target={} organisation={} code={} reason=\"{}\"",
         target.entry().id(),
@@ -307,47 +302,19 @@
         code,
         reason);
     if (target.isRuledOut()) {
-      refuseAll(RULED_OUT_REASON);
-    } else if (isUnreachable() || isFull() && connections.isEmpty()) {
-      refuseAll("cannot connect: " + reason);
+      waiters.refuseAll(RULED_OUT_REASON);
+    } else if (isUnreachable() || attempts.isFull() && connections.isEmpty()) {
+      waiters.refuseAll("cannot connect: " + reason);
     } else {
-      refuseOne(connection.organisation(), "cannot connect: " + reason);
-    }
-  }
-
-  /** Notes what the failure rules out, so that the next request does not have to find it again. */
-  private void recordFailedOpen(FailureCode code) {
-    long nowNanos = loop.nowNanos();
-    if (code == FailureCode.MISROUTED) {
-      target.ruleOut();
-    } else if (code == FailureCode.CONNECTION_LIMIT) {
-      fullUntilNanos = nowNanos + FULL_RETRY_DELAY_NANOS;
-    } else {
-      failedOpens++;
-      nextOpenNanos = nowNanos + OPEN_RETRY_DELAY_NANOS;
-    }
-    target.avoidUntil(nowNanos + OPEN_RETRY_DELAY_NANOS);
-  }
-
-  private void refuseAll(String reason) {
-    for (PendingAcquire next = waitQueue.poll(any -> true);
-        next != null;
-        next = waitQueue.poll(any -> true)) {
-      next.listener.refused(reason);
-    }
-  }
-
-  private void refuseOne(String organisation, String reason) {
-    PendingAcquire next = waitQueue.poll(each -> each.organisation.equals(organisation));
-    if (next != null) {
-      next.listener.refused(reason);
+      waiters.refuseOne(connection.organisation(), "cannot connect: " + reason);
     }
   }
 
   void onClosed(TargetConnection connection) {
     connections.remove(connection);
     idle.remove(connection);
-    if (!waitQueue.isEmpty() && !draining && !evicting) {
+    held.onFreed(connection);
+    if (!waiters.isEmpty() && !draining && !evicting) {
       openForWaiting();
     }
   }
@@ -357,13 +324,12 @@
     for (TargetConnection connection : List.copyOf(connections)) {
       connection.checkDeadline(nowNanos);
     }
-    for (PendingAcquire late : waitQueue.removeExpired(nowNanos)) {
-      late.listener.refused("no connection in time");
-    }
+    waiters.updateOrder();
+    waiters.refuseExpired(nowNanos);
     while (connections.size() > budget.getAsInt() && !idle.isEmpty()) {
       closeIdle(idle.peekFirst(), "above the budget");
     }
-    if (!waitQueue.isEmpty()) {
+    if (!waiters.isEmpty()) {
       openForWaiting();
     }
   }
@@ -378,7 +344,7 @@
   /** Closes idle connections; connections in use are closed when they are released. */
   void drain() {
     draining = true;
-    refuseAll("target is leaving");
+    waiters.refuseAll("target is leaving");
     while (!idle.isEmpty()) {
       idle.pollFirst().close("target is leaving");
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 /**
  * The connection pools of this instance, one for each target. Each is limited to the instance's
@@ -21,17 +22,26 @@
   private final EventLoop loop;
   private final TargetCodec codec;
   private final HomeRouter homes;
+  private final Declarations declarations;
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
 
-  TargetPools(EventLoop loop, TargetCodec codec, HomeRouter homes) {
+  TargetPools(EventLoop loop, TargetCodec codec, HomeRouter homes, Declarations declarations) {
     this.loop = loop;
     this.codec = codec;
     this.homes = homes;
+    this.declarations = declarations;
   }
 
   TargetPool poolFor(TargetState target) {
     return pools.computeIfAbsent(
-        target, key -> new TargetPool(loop, codec, target, () -> budget(target)));
+        target,
+        key ->
+            new TargetPool(
+                loop,
+                codec,
+                target,
+                () -> budget(target),
+                () -> declarations.isUrgent(target.entry().group())));
   }
 
   /**
@@ -114,6 +124,17 @@
     return count;
   }
 
+  /** Returns a figure of the pools of groups with urgent work, by target. */
+  Map<String, Double> figures(ToDoubleFunction<TargetPool> figure) {
+    Map<String, Double> figures = new HashMap<>();
+    for (TargetPool pool : pools.values()) {
+      if (declarations.isUrgent(pool.target().entry().group())) {
+        figures.put(pool.target().entry().id(), figure.applyAsDouble(pool));
+      }
+    }
+    return figures;
+  }
+
   void close() {
     List.copyOf(pools.values()).forEach(TargetPool::close);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.scheduling.WaitingRequest;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -142,9 +143,7 @@
     context
         .pool(target)
         .acquire(
-            organisation,
-            route.priority(),
-            acquireDeadlineNanos(),
+            waitingRequest(target),
             new TargetPool.AcquireListener() {
               @Override
               public void acquired(TargetConnection connection) {
@@ -158,6 +157,17 @@
             });
   }
 
+  private WaitingRequest waitingRequest(TargetState target) {
+    return new WaitingRequest(
+        organisation,
+        route.priority(),
+        context.loop().nowNanos(),
+        receivedNanos,
+        TimeUnit.MILLISECONDS.toNanos(route.objectiveMs()),
+        acquireDeadlineNanos(),
+        (long) target.averageAnswerNanos());
+  }
+
   private long acquireDeadlineNanos() {
     long untilNanos = context.loop().nowNanos() + TimeUnit.MILLISECONDS.toNanos(hold.holdMs());
     return untilNanos - deadlineNanos < 0 ? untilNanos : deadlineNanos;
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -10,7 +10,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * Prometheus metrics of one instance. Each instance has its own registry, so that several instances
@@ -79,6 +81,19 @@
     reads.labelValues(organisation, role).inc();
   }
 
+  /** Registers a gauge with one value for each target, whose id is the label. */
+  public void registerTargetGauge(
+      String name, String help, Supplier<Map<String, Double>> valuesByTarget) {
+    GaugeWithCallback.builder()
+        .name("hickorydrift_" + name)
+        .help(help)
+        .labelNames("target")
+        .callback(
+            callback ->
+                valuesByTarget.get().forEach((target, value) -> callback.call(value, target)))
+        .register(registry);
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   public void registerGauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -30,7 +30,7 @@
       new FleetMembership(loop, store, "gw-0", new FleetEntry("127.0.0.1:9", 1, "z"));
   private final HomeRouter homes = new HomeRouter(loop, declarations, fleet, "gw-0", Regions.NONE);
   // No target listens at its address, so that nothing is encoded.
-  private final TargetPools pools = new TargetPools(loop, null, homes);
+  private final TargetPools pools = new TargetPools(loop, null, homes, declarations);
 
   private PromotionAttempt attempt() {
     for (int i = 0; i < 3; i++) {
