--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -103,7 +103,7 @@
         new EvacuationService(loop, platform, evacuated, metrics, settings.evacuationMs() / 2);
     directory = new Directory(this::onTargetRemoved, evacuated);
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
-    pools = new TargetPools(loop, platform.targetCodec(), homes);
+    pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
@@ -244,6 +244,7 @@
         homes::homeCount);
     metrics.registerGauge(
         "target_connections", "Open connections to targets", pools::connectionCount);
+    new SchedulingMetrics(loop, pools).register(metrics);
     metrics.registerGauge(
         "ready", "1 if the instance accepts new sessions, else 0", () -> isReady() ? 1 : 0);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -23,6 +23,8 @@
   private static final long ATTEMPT_TIMEOUT_NANOS = 350_000_000L;
   private static final long BUSY_RETRY_DELAY_MS = 10;
   private static final String EVACUATED = "the target's failure domain is evacuated";
+  private static final String ENDED_IDLE =
+      "transaction was idle while others waited for its connection and was rolled back";
 
   private final GatewayContext context;
   private final Route route;
@@ -34,7 +36,7 @@
   private TargetConnection connection;
   private boolean wrote;
   private boolean ended;
-  private boolean evacuated;
+  private String abortReason;
   private Statement statement;
   private long deadlineNanos;
   private Consumer<StatementOutcome> onOutcome;
@@ -74,8 +76,8 @@
     statement = next;
     onOutcome = onResult;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
-    if (evacuated) {
-      completeEvacuated();
+    if (abortReason != null) {
+      completeAborted(abortReason);
       return;
     }
     if (connection != null) {
@@ -95,12 +97,7 @@
       return;
     }
     finish();
-    boolean commit = statement.kind() == StatementKind.COMMIT;
-    complete(
-        StatementOutcome.failed(
-            FailureCode.ABORTED,
-            TargetSearch.NO_ALLOWED_TARGET,
-            commit ? SessionState.IDLE : SessionState.FAILED));
+    completeAborted(TargetSearch.NO_ALLOWED_TARGET);
   }
 
   @Override
@@ -122,6 +119,7 @@
       context.recordPrimaryPosition(context.directory().group(route.group()), reply);
     }
     connection = found;
+    context.pool(found.target()).held().add(found, this);
     if (ended) {
       finish();
       return;
@@ -248,26 +246,25 @@
     if (committing) {
       return false;
     }
-    evacuated = true;
+    abortReason = EVACUATED;
     finish();
     if (onOutcome != null) {
-      completeEvacuated();
+      completeAborted(EVACUATED);
     }
     return true;
   }
 
-  private void completeEvacuated() {
-    SessionState after =
-        statement.kind() == StatementKind.COMMIT ? SessionState.IDLE : SessionState.FAILED;
-    complete(StatementOutcome.failed(FailureCode.ABORTED, EVACUATED, after));
+  private void completeAborted(String reason) {
+    complete(StatementOutcome.failed(FailureCode.ABORTED, reason, stateAfter(statement)));
   }
 
   @Override
   public void exhausted(String reason) {
-    boolean commit = statement.kind() == StatementKind.COMMIT;
-    complete(
-        StatementOutcome.failed(
-            FailureCode.BUSY, reason, commit ? SessionState.IDLE : SessionState.FAILED));
+    complete(StatementOutcome.failed(FailureCode.BUSY, reason, stateAfter(statement)));
+  }
+
+  private static SessionState stateAfter(Statement failed) {
+    return failed.kind() == StatementKind.COMMIT ? SessionState.IDLE : SessionState.FAILED;
   }
 
   private void complete(StatementOutcome outcome) {
@@ -285,6 +282,17 @@
     finish();
   }
 
+  /**
+   * Rolls the transaction back because it is idle and others wait for its connection. Its next
+   * statement is told so. Has no effect while a statement runs.
+   */
+  void endIdle() {
+    if (onOutcome == null && !ended) {
+      abortReason = ENDED_IDLE;
+      finish();
+    }
+  }
+
   /**
    * Ends the transaction and releases its connection; rolls back a transaction that is still open
    * at the target.
@@ -298,6 +306,7 @@
     TargetConnection used = connection;
     connection = null;
     TargetPool pool = context.pool(used.target());
+    pool.held().remove(used);
     if (!used.isOpen() || used.state() == SessionState.IDLE && !used.hasPendingCommands()) {
       pool.release(used);
     } else if (used.hasPendingCommands() || context.evacuations().isClosedTo(used.target())) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.scheduling.WaitingRequest;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.TreeSet;
@@ -206,9 +207,7 @@
     context
         .pool(target)
         .acquire(
-            organisation,
-            route.priority(),
-            acquireDeadlineNanos(),
+            waitingRequest(target),
             new TargetPool.AcquireListener() {
               @Override
               public void acquired(TargetConnection connection) {
@@ -222,6 +221,17 @@
             });
   }
 
+  private WaitingRequest waitingRequest(TargetState target) {
+    return new WaitingRequest(
+        organisation,
+        route.priority(),
+        context.loop().nowNanos(),
+        receivedNanos,
+        TimeUnit.MILLISECONDS.toNanos(route.objectiveMs()),
+        acquireDeadlineNanos(),
+        (long) target.averageAnswerNanos());
+  }
+
   private long acquireDeadlineNanos() {
     long untilNanos = context.loop().nowNanos() + TimeUnit.MILLISECONDS.toNanos(hold.holdMs());
     return untilNanos - deadlineNanos < 0 ? untilNanos : deadlineNanos;
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -31,7 +31,7 @@
   private final HomeRouter homes =
       new HomeRouter(loop, declarations, fleet, directory, "gw-0", Regions.NONE);
   // No target listens at its address, so that nothing is encoded.
-  private final TargetPools pools = new TargetPools(loop, null, homes);
+  private final TargetPools pools = new TargetPools(loop, null, homes, declarations);
 
   private PromotionAttempt attempt() {
     for (int i = 0; i < 3; i++) {
