Count an evacuation as a planned change at once

Cause: after the news of an evacuation, up to one tick (50 ms) passed before the group counted as without a primary. Writes that arrived in it were refused by the expected time of recovery after a failure (2,500 ms) rather than that of a planned change (1,400 ms), although the latter is within their timeout.

The recovery estimators are updated with each change of the set.

--- a/core/src/test/java/io/hickorydrift/core/promotion/PrimaryFailureDetectorTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/PrimaryFailureDetectorTest.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetEntry;
+import io.hickorydrift.core.evacuation.Evacuations;
 import io.hickorydrift.core.store.StorePosition;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,11 @@
   private final PrimaryFailureDetector detector = new PrimaryFailureDetector(1_000, 500);
 
   private static GroupState group(String state) {
-    Directory directory = new Directory(target -> {});
+    return group(state, new Evacuations());
+  }
+
+  private static GroupState group(String state, Evacuations evacuations) {
+    Directory directory = new Directory(target -> {}, evacuations);
     boolean primary = !state.equals("none");
     directory.put(
         new TargetEntry("t0", "g", "127.0.0.1:1", "a", 3, state.equals("draining"), primary, 1, 1),
@@ -48,4 +53,30 @@
     }
     assertThat(detector.evaluate(group(state), ownMs, reports, 7 - 1)).isEqualTo(expected);
   }
+
+  /**
+   * Guards against promotions that cannot succeed, and against a dead verdict for want of probes.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "ready,    '',    0,    KEEP",
+    "ready,    b,     0,    KEEP",
+    "ready,    a,     0,    LEAVING",
+    "ready,    a,     5000, LEAVING",
+    "ready,    'a b', 0,    KEEP",
+    "ready,    'a b', 5000, KEEP",
+    "draining, 'a b', 0,    LEAVING",
+  })
+  void evacuatedPrimaryLeavesIfAnotherTargetIsLeft(
+      String state, String domains, long ownMs, PrimaryVerdict expected) {
+    Evacuations evacuations = new Evacuations();
+    for (String domain : domains.split(" ")) {
+      evacuations.begin(domain, new StorePosition(0, 9), 0);
+    }
+    List<PrimaryReport> reports = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      reports.add(new PrimaryReport("t0", ownMs));
+    }
+    assertThat(detector.evaluate(group(state, evacuations), ownMs, reports, 6)).isEqualTo(expected);
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/EvacuationService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/EvacuationService.java
@@ -33,6 +33,7 @@
   private final Metrics metrics;
   private final Set<LocalTransaction> openTransactions = new HashSet<>();
   private long graceNanos;
+  private Runnable onChange = () -> {};
 
   /**
    * Creates a service without evacuations.
@@ -56,6 +57,14 @@
         () -> evacuations.domains().size());
   }
 
+  /**
+   * Runs {@code action} after each change, so that statements which arrive right after it find what
+   * follows from it.
+   */
+  void onChange(Runnable action) {
+    onChange = action;
+  }
+
   /** Sets the time that open transactions have to end, from the news of an evacuation. */
   void setGraceMs(long graceMs) {
     graceNanos = TimeUnit.MILLISECONDS.toNanos(graceMs);
@@ -73,7 +82,7 @@
       return;
     }
     long nowNanos = loop.nowNanos();
-    log(
+    publish(
         item.value() == null
             ? evacuations.end(domain, position, nowNanos)
             : evacuations.begin(domain, position, nowNanos));
@@ -90,7 +99,7 @@
         }
       }
     }
-    log(evacuations.replaceAll(active, position, loop.nowNanos()));
+    publish(evacuations.replaceAll(active, position, loop.nowNanos()));
   }
 
   /** Returns the failure domain that {@code key} names, or null if it cannot be one. */
@@ -109,7 +118,7 @@
     return domain;
   }
 
-  private static void log(List<Evacuations.Change> changes) {
+  private void publish(List<Evacuations.Change> changes) {
     for (Evacuations.Change change : changes) {
       Logger.info(
           "event=evacuation domain={} state={} position={}",
@@ -117,6 +126,9 @@
           change.begun() ? "begun" : "ended",
           change.position());
     }
+    if (!changes.isEmpty()) {
+      onChange.run();
+    }
   }
 
   /** Records that {@code transaction} is open at a target. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -103,6 +103,7 @@
         new EvacuationService(loop, platform, evacuated, metrics, settings.evacuationMs() / 2);
     directory = new Directory(this::onTargetRemoved, evacuated);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
+    evacuations.onChange(prober::updateRecoveryEstimators);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
         new Peers(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
@@ -64,6 +64,12 @@
     reachabilityByTarget.remove(target);
   }
 
+  /** Records for each group whether it has a usable primary. */
+  void updateRecoveryEstimators() {
+    long nowNanos = loop.nowNanos();
+    directory.groups().forEach(group -> updateRecoveryEstimator(group, group.primary(), nowNanos));
+  }
+
   void tick(long nowNanos) {
     for (GroupState group : directory.groups()) {
       TargetState primary = group.primary();
