--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -105,6 +105,7 @@
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes);
+    evacuations.onChange(prober::updateRecoveryEstimators);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
         new Peers(
