--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -49,6 +49,7 @@
   private final String instance;
   private FleetEntry own;
   private final Map<String, FleetEntry> members = new HashMap<>();
+  private final FleetChangeLog changeLog;
   private long changeCount;
   private long lease;
   private long registration;
@@ -60,6 +61,16 @@
   private boolean left;
 
   FleetMembership(EventLoop loop, KeyValueStore store, String instance, FleetEntry own) {
+    this(loop, store, instance, own, new FleetChangeLog(line -> Logger.info(line)));
+  }
+
+  FleetMembership(
+      EventLoop loop,
+      KeyValueStore store,
+      String instance,
+      FleetEntry own,
+      FleetChangeLog changeLog) {
+    this.changeLog = changeLog;
     this.loop = loop;
     this.store = store;
     this.instance = instance;
@@ -147,11 +158,25 @@
   /** Removes the member whose entry has {@code key}. */
   void remove(String key) {
     if (members.remove(memberId(key)) != null) {
-      changeCount++;
-      Logger.info("event=fleet_changed size={} instance={}", members.size(), memberId(key));
+      recordChange(memberId(key));
+    }
+  }
+
+  /** Runs {@code action}, which applies several changes, and logs them in one line. */
+  void applyTogether(Runnable action) {
+    changeLog.begin();
+    try {
+      action.run();
+    } finally {
+      changeLog.end(members.size());
     }
   }
 
+  private void recordChange(String name) {
+    changeCount++;
+    changeLog.record(members.size(), name);
+  }
+
   void apply(Item item, StorePosition position) {
     String name = memberId(item.key());
     if (name.equals(instance) && ownEntryPosition.isAfter(position)) {
@@ -163,8 +188,7 @@
     FleetEntry entry = stored != null && name.equals(instance) ? own : stored;
     FleetEntry previous = entry == null ? members.remove(name) : members.put(name, entry);
     if (!Objects.equals(previous, entry)) {
-      changeCount++;
-      Logger.info("event=fleet_changed size={} instance={}", members.size(), name);
+      recordChange(name);
     }
     if (name.equals(instance) && registered) {
       reconcileOwnEntry(stored);
@@ -231,8 +255,11 @@
   }
 
   void retainMembers(Set<String> kept) {
-    if (members.keySet().removeIf(name -> !kept.contains(KEY_PREFIX + name))) {
-      changeCount++;
+    for (String name : List.copyOf(members.keySet())) {
+      if (!kept.contains(KEY_PREFIX + name)) {
+        members.remove(name);
+        recordChange(name);
+      }
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -107,6 +107,10 @@
    * removed. Those that a restore has lost are removed unless they are written again in time.
    */
   void applySnapshot(List<Item> snapshot, long snapshotEra) {
+    fleet.applyTogether(() -> replaceAll(snapshot, snapshotEra));
+  }
+
+  private void replaceAll(List<Item> snapshot, long snapshotEra) {
     final boolean restored = loaded && snapshotEra > era;
     loaded = true;
     era = snapshotEra;
@@ -142,8 +146,13 @@
         });
   }
 
+  /** Applies items of {@code itemsEra} that were read or received together. */
+  void applyAll(List<Item> changed, long itemsEra) {
+    fleet.applyTogether(() -> changed.forEach(item -> apply(item, itemsEra)));
+  }
+
   /** Applies one item of {@code itemEra}. */
-  void apply(Item item, long itemEra) {
+  private void apply(Item item, long itemEra) {
     StorePosition position = new StorePosition(itemEra, item.revision());
     try {
       if (item.key().equals(platform.declarationKey())) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -133,7 +133,7 @@
         FleetMembership.keyPrefix(),
         "",
         result -> {
-          result.items().forEach(item -> contents.apply(item, result.position().era()));
+          contents.applyAll(result.items(), result.position().era());
           if (!firstStart && fleet.relayCandidates().size() < 2) {
             // No member is registered yet: the whole failure domain starts.
             loop.after(START_PAUSE_MS, () -> readMembers(true));
@@ -264,7 +264,7 @@
       relay.onSnapshot(position, contents.failureAgeMs());
       return;
     }
-    changes.items().forEach(item -> contents.apply(item, position.era()));
+    contents.applyAll(changes.items(), position.era());
     if (position.isAfter(before)) {
       relay.onChanges(before, position, contents.failureAgeMs(), changes.items());
     }
@@ -360,9 +360,9 @@
   }
 
   private void applyChanges(ReadResult result, long requestNanos) {
+    contents.applyAll(result.items(), position.era());
     List<Item> entries = new ArrayList<>();
     for (Item item : result.items()) {
-      contents.apply(item, position.era());
       if (contents.isRelayed(item)) {
         entries.add(item);
       }
