Bound the requests to cold targets

Cause: coldS and coldPerS of a service and coldLeftMs of a target's entry were decoded, but had no effect.

WarmUpLimits determines this instance's part of each bound: all of it at the group's home, whole parts by rank with own connections, none without a proof younger than 3 s. TargetSearch asks it when it chooses a target and again just before a statement is sent. Reads, writes and commits are counted; a transaction begins if there is room for a statement and its commit. Without room, a statement is held and then refused with the reason. Groups without a declared bound behave as before.

A wish for warm targets of one whole set of slots was tried and ruled out: a lone cold replica then got no reads beside a loaded primary.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -73,6 +73,7 @@
   private final KeyValueStore store;
   private final PromotionClient promotionClient;
   private final CommitConfirmations confirmations;
+  private final WarmUpLimits warmUps;
   private final Metrics metrics = new Metrics();
   private final StoreEra era = new StoreEra();
   private final GatewayContext context;
@@ -144,6 +145,7 @@
             settings.acknowledgement().policy(),
             new ReplicaOrder(settings.failureDomain(), settings.regions()),
             homes::usesLocality);
+    warmUps = new WarmUpLimits(loop, declarations, directory, homes, settings.regions());
     context =
         new GatewayContext(
             loop,
@@ -157,7 +159,8 @@
             metrics,
             homes,
             confirmations,
-            settings.regions());
+            settings.regions(),
+            warmUps);
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
@@ -220,6 +223,8 @@
   private void registerGauges() {
     metrics.registerGauge("store_era", "Newest era of the store that is known", era::current);
     metrics.registerGauge("targets", "Registered targets", () -> directory.entries().size());
+    metrics.registerGauge(
+        "cold_targets", "Targets that are slow after their start", () -> warmUps.coldCount());
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
@@ -316,6 +321,7 @@
       return;
     }
     long nowNanos = loop.nowNanos();
+    warmUps.tick();
     pools.tick(nowNanos);
     limits.tick();
     sync.tick();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -29,7 +29,8 @@
     Metrics metrics,
     HomeRouter homes,
     CommitConfirmations confirmations,
-    Regions regions) {
+    Regions regions,
+    WarmUpLimits warmUps) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the connection pool of {@code target}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -1,11 +1,15 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
+import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.placement.HomePlan;
 import io.hickorydrift.core.placement.Regions;
+import io.hickorydrift.core.placement.Rendezvous;
+import io.hickorydrift.core.warmup.ColdTargets;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -132,6 +136,24 @@
     return !isDirect(group) && plan().rankedInstances(group).get(0).equals(self);
   }
 
+  /**
+   * Returns this instance's part of {@code perSecond}, a bound on the requests of all instances to
+   * {@code target}: the home has all of it, instances with own connections share it.
+   */
+  double shareOfTarget(TargetEntry target, double perSecond) {
+    if (!isDirect(target.group())) {
+      return isHome(target.group()) ? perSecond : 0;
+    }
+    Set<String> ids = new HashSet<>(fleet.instanceIds());
+    ids.add(self);
+    double ownHash = Rendezvous.unitHash(target.id(), self);
+    int rank = 0;
+    for (String id : ids) {
+      rank += Rendezvous.unitHash(target.id(), id) > ownHash ? 1 : 0;
+    }
+    return ColdTargets.shareOf(perSecond, rank, ids.size());
+  }
+
   /**
    * Returns whether this instance counts the operations on {@code group} that it receives, and that
    * {@code allowed} may run, against the rate limits.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -22,6 +22,8 @@
 final class LocalTransaction implements TargetSearch.Listener, OpenTransaction {
   private static final long ATTEMPT_TIMEOUT_NANOS = 350_000_000L;
   private static final long BUSY_RETRY_DELAY_MS = 10;
+  // A statement and the commit.
+  private static final int REQUESTS_AT_ONCE = 2;
 
   private final GatewayContext context;
   private final Route route;
@@ -31,6 +33,9 @@
   private final long begunNanos;
   private TargetSearch search;
   private TargetConnection connection;
+  // Whether a request was counted at takenNanos for the first statement.
+  private boolean taken;
+  private long takenNanos;
   private boolean wrote;
   private boolean ended;
   private Statement statement;
@@ -97,8 +102,18 @@
             commit ? SessionState.IDLE : SessionState.FAILED));
   }
 
+  @Override
+  public int requestsAtOnce() {
+    return REQUESTS_AT_ONCE;
+  }
+
   @Override
   public void found(TargetConnection found, Position atLeast) {
+    if (!search.tryTake(found)) {
+      return;
+    }
+    taken = true;
+    takenNanos = context.loop().nowNanos();
     long attemptDeadlineNanos = context.loop().nowNanos() + ATTEMPT_TIMEOUT_NANOS;
     found.run(
         new TargetCommand.Begin(atLeast != null, atLeast),
@@ -128,6 +143,7 @@
     boolean commit = statement.kind() == StatementKind.COMMIT;
     wrote |= !commit && session.writes(statement);
     target.recordSent();
+    countRequest(target);
     TargetCommand command =
         commit
             ? new TargetCommand.Run(statement.id(), statement.text(), null)
@@ -148,6 +164,15 @@
         });
   }
 
+  private void countRequest(TargetState target) {
+    if (taken) {
+      context.warmUps().move(target, takenNanos);
+      taken = false;
+    } else {
+      context.warmUps().record(target);
+    }
+  }
+
   private void answered(TargetReply reply) {
     if (reply.ok()) {
       complete(StatementOutcome.of(reply, SessionState.IN_TRANSACTION));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -77,16 +77,21 @@
       context.pool(connection.target()).release(connection);
       return;
     }
+    if (!search.tryTake(connection)) {
+      return;
+    }
     if (atLeast != null) {
       read(connection, atLeast, false);
       return;
     }
+    final long takenNanos = context.loop().nowNanos();
     connection.run(
         new TargetCommand.Begin(false, null),
         deadlineNanos,
         reply -> {
           if (reply.ok()) {
             context.recordPrimaryPosition(context.directory().group(route.group()), reply);
+            context.warmUps().move(connection.target(), takenNanos);
             read(connection, null, true);
           } else {
             context.pool(connection.target()).release(connection);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -29,6 +29,14 @@
      */
     void found(TargetConnection connection, Position atLeast);
 
+    /**
+     * Returns the number of requests that a cold target must have room for: a transaction holds its
+     * connection until it ends, so there has to be room for its commit as well.
+     */
+    default int requestsAtOnce() {
+      return 1;
+    }
+
     /** Reports that no target can run the statement. The search itself has sent nothing. */
     void exhausted(String reason);
   }
@@ -38,6 +46,9 @@
 
   // Targets of the allowed regions return with the next promotion or start, which takes seconds.
   private static final long NO_ALLOWED_TARGET_RETRY_MS = 1_000;
+  private static final String TARGET_IS_COLD = "target is slow after its start";
+  // The bound on the requests to a cold target is one for each second.
+  private static final long COLD_RETRY_MS = 1_000;
   private static final String NOTHING_TRIED = "no target can run the statement";
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
@@ -57,6 +68,8 @@
   private final Set<String> triedTargets = new HashSet<>();
   private String lastFailureReason = NOTHING_TRIED;
   private int backoffs;
+  private boolean heldBackByCold;
+  private boolean countedAsDelayed;
 
   TargetSearch(
       GatewayContext context,
@@ -90,6 +103,7 @@
       refuseForRegion();
       return;
     }
+    heldBackByCold = false;
     Position atLeast = replicasAllowed ? lowerBound(group) : null;
     TargetState target =
         atLeast == null
@@ -115,17 +129,39 @@
     acquire(target, atLeast);
   }
 
-  private boolean mayRun(TargetState target) {
+  private boolean isAllowed(TargetState target) {
     return allowed.allowsTarget(context.regionOf(target));
   }
 
+  private boolean mayRun(TargetState target) {
+    if (!isAllowed(target)) {
+      return false;
+    }
+    boolean room = context.warmUps().hasRoom(target, listener.requestsAtOnce());
+    heldBackByCold |= !room;
+    return room;
+  }
+
+  /**
+   * Counts a request to the target of {@code connection} just before it is sent. If the target is
+   * cold and has no room for it, releases the connection, tries another target and returns false.
+   */
+  boolean tryTake(TargetConnection connection) {
+    if (context.warmUps().tryTake(connection.target(), listener.requestsAtOnce())) {
+      return true;
+    }
+    context.pool(connection.target()).release(connection);
+    attemptFailed(TARGET_IS_COLD);
+    return false;
+  }
+
   /**
    * Returns whether a target of the allowed regions can run the statement, or may become able to do
    * so soon: a primary that is unreachable is replaced.
    */
   private boolean hasAllowedTarget(GroupState group) {
     TargetState primary = group.primary();
-    if (primary != null && mayRun(primary) || group.targets().isEmpty()) {
+    if (primary != null && isAllowed(primary) || group.targets().isEmpty()) {
       return true;
     }
     if (primary != null && !replicasAllowed) {
@@ -133,7 +169,7 @@
     }
     for (TargetState target : group.targets()) {
       // Without a primary, any target of the allowed regions may be promoted.
-      if (mayRun(target) && (primary == null || isUsable(target))) {
+      if (isAllowed(target) && (primary == null || isUsable(target))) {
         return true;
       }
     }
@@ -178,9 +214,12 @@
   }
 
   private String unusablePrimaryReason(TargetState primary) {
-    if (!mayRun(primary)) {
+    if (!isAllowed(primary)) {
       return NO_ALLOWED_TARGET;
     }
+    if (isUsable(primary) && !mayRun(primary)) {
+      return TARGET_IS_COLD;
+    }
     return isUsable(primary) ? "primary is being replaced" : "primary is unreachable or leaving";
   }
 
@@ -242,6 +281,13 @@
             hasUsableTarget(group),
             group.recoveryEstimator().expectedRecoveryAfterFailureMs(nowNanos),
             TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos));
+    if (heldBackByCold) {
+      recordHeldBack(refuseAfterMs != HoldPolicy.HOLD);
+    }
+    if (refuseAfterMs != HoldPolicy.HOLD && heldBackByCold) {
+      listener.exhausted(TARGET_IS_COLD + "; retry in " + COLD_RETRY_MS + " ms");
+      return;
+    }
     if (refuseAfterMs != HoldPolicy.HOLD) {
       listener.exhausted(lastFailureReason + "; retry in " + refuseAfterMs + " ms");
       return;
@@ -256,11 +302,28 @@
             });
   }
 
+  private void recordHeldBack(boolean refused) {
+    if (refused) {
+      context.metrics().recordRefusedByCold();
+      context
+          .requestLog()
+          .logDecision(
+              "-",
+              "decision=refused organisation={} group={} code=BUSY reason=\"{}\"",
+              organisation,
+              route.group(),
+              TARGET_IS_COLD);
+    } else if (!countedAsDelayed) {
+      countedAsDelayed = true;
+      context.metrics().recordDelayedByCold();
+    }
+  }
+
   private boolean hasUsableTarget(GroupState group) {
     long nowNanos = context.loop().nowNanos();
     TargetState primary = group.primary();
     if (isUsable(primary)
-        && mayRun(primary)
+        && isAllowed(primary)
         && group.recoveryEstimator().expectedRecoveryMs(nowNanos) == 0) {
       return true;
     }
@@ -268,7 +331,7 @@
       return false;
     }
     for (TargetState target : group.targets()) {
-      if (target != primary && isUsable(target) && mayRun(target)) {
+      if (target != primary && isUsable(target) && isAllowed(target)) {
         return true;
       }
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -70,6 +70,9 @@
   }
 
   private void write(TargetConnection connection) {
+    if (!search.tryTake(connection)) {
+      return;
+    }
     TargetState target = connection.target();
     target.recordSent();
     connection.run(
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -54,6 +54,23 @@
           .help("Statements refused because no target in an allowed region could run them")
           .register(registry);
 
+  private final Counter coldStatements =
+      Counter.builder()
+          .name("hickorydrift_cold_target_statements_total")
+          .help("Statements delayed or refused because of the bound on requests to a cold target")
+          .labelNames("result")
+          .register(registry);
+
+  /** Counts a statement that waits because a cold target has no room for it. */
+  public void recordDelayedByCold() {
+    coldStatements.labelValues("delayed").inc();
+  }
+
+  /** Counts a statement that was refused because a cold target had no room for it. */
+  public void recordRefusedByCold() {
+    coldStatements.labelValues("refused").inc();
+  }
+
   /** Counts a statement refused because no target in an allowed region could run it. */
   public void recordRefusedForRegion() {
     refusedForRegion.inc();
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/SteadyClock.java
@@ -40,6 +40,11 @@
     return nowNanos;
   }
 
+  /** Returns the time of day of the last {@link #refresh}, in milliseconds since 1970. */
+  public long timeOfDayMs() {
+    return timeOfDayOffsetMs + nowNanos / NANOS_PER_MS;
+  }
+
   /** Returns the monotonic time now, without checking for a pause. */
   long readNanos() {
     return monotonicNanos.getAsLong();
