--- a/core/src/test/java/io/hickorydrift/core/warmup/ColdTargetTest.java
+++ b/core/src/test/java/io/hickorydrift/core/warmup/ColdTargetTest.java
@@ -137,6 +137,20 @@
     assertThat(cold.tryTake(target, 1, 3 * SECOND_NANOS)).isFalse();
   }
 
+  /** Guards against a part that is used at once after the fleet shrank to own connections. */
+  @Test
+  void changeBetweenHomeAndOwnConnectionsWaits() {
+    TargetState target = target(entry("t", 1, 9_000));
+    ColdTargets cold = homeFor(target, BOUNDED, 1_000_000);
+    long nowNanos = 2 * SECOND_NANOS;
+    cold.update(target, BOUNDED, null, 1, nowNanos, 1_002_000);
+    assertThat(cold.hasRoom(target, 1, nowNanos)).isFalse();
+    cold.update(target, BOUNDED, null, 1, nowNanos + 2 * SECOND_NANOS, 1_004_000);
+    assertThat(cold.hasRoom(target, 1, nowNanos + 2 * SECOND_NANOS)).isTrue();
+    cold.update(target, BOUNDED, "g", 3, nowNanos + 2 * SECOND_NANOS, 1_004_000);
+    assertThat(cold.hasRoom(target, 1, nowNanos + 2 * SECOND_NANOS)).isFalse();
+  }
+
   @Test
   void statementsOfOpenTransactionsAreCountedButNotHeldBack() {
     TargetState target = target(entry("t", 1, 9_000));
