--- a/core/src/test/java/io/hickorydrift/core/promotion/PromotionCandidatesTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/PromotionCandidatesTest.java
@@ -36,11 +36,11 @@
     final TargetState evacuated = add("t0", "a", false, 9);
     add("t1", "b", true, 8);
     final TargetState usable = add("t2", "c", false, 7);
-    assertThat(PromotionCandidates.mostAdvanced(received)).isEqualTo(evacuated);
+    assertThat(PromotionCandidates.mostAdvanced(received, 0)).isEqualTo(evacuated);
     evacuations.begin("a", new StorePosition(0, 5), 0);
-    assertThat(PromotionCandidates.mostAdvanced(received)).isEqualTo(usable);
+    assertThat(PromotionCandidates.mostAdvanced(received, 0)).isEqualTo(usable);
     evacuations.begin("c", new StorePosition(0, 6), 0);
-    assertThat(PromotionCandidates.mostAdvanced(received)).isNull();
+    assertThat(PromotionCandidates.mostAdvanced(received, 0)).isNull();
     assertThat(directory.group("g").isEvacuated()).isFalse();
     evacuations.begin("b", new StorePosition(0, 7), 0);
     assertThat(directory.group("g").isEvacuated()).isTrue();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -75,6 +75,7 @@
   private final PromotionClient promotionClient;
   private final CommitConfirmations confirmations;
   private final EvacuationService evacuations;
+  private final WarmUpLimits warmUps;
   private final Metrics metrics = new Metrics();
   private final StoreEra era = new StoreEra();
   private final GatewayContext context;
@@ -150,6 +151,7 @@
             settings.acknowledgement().policy(),
             new ReplicaOrder(settings.failureDomain(), settings.regions()),
             homes::usesLocality);
+    warmUps = new WarmUpLimits(loop, declarations, directory, homes, settings.regions());
     context =
         new GatewayContext(
             loop,
@@ -164,7 +166,8 @@
             homes,
             confirmations,
             settings.regions(),
-            evacuations);
+            evacuations,
+            warmUps);
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
@@ -228,6 +231,8 @@
   private void registerGauges() {
     metrics.registerGauge("store_era", "Newest era of the store that is known", era::current);
     metrics.registerGauge("targets", "Registered targets", () -> directory.entries().size());
+    metrics.registerGauge(
+        "cold_targets", "Targets that are slow after their start", () -> warmUps.coldCount());
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
@@ -330,6 +335,7 @@
     }
     long nowNanos = loop.nowNanos();
     evacuations.tick();
+    warmUps.tick();
     pools.tick(nowNanos);
     limits.tick();
     sync.tick();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -30,7 +30,8 @@
     HomeRouter homes,
     CommitConfirmations confirmations,
     Regions regions,
-    EvacuationService evacuations) {
+    EvacuationService evacuations,
+    WarmUpLimits warmUps) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the connection pool of {@code target}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -2,13 +2,17 @@
 
 import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.directory.Directory;
+import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.placement.HomeAssignment;
 import io.hickorydrift.core.placement.Regions;
+import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.placement.ServingRegion;
+import io.hickorydrift.core.warmup.ColdTargets;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -147,6 +151,31 @@
     return !isDirect(group) && ownRankedInstances(group).indexOf(self) == 0;
   }
 
+  /**
+   * Returns this instance's part of {@code perSecond}, a bound on the requests of all instances to
+   * {@code target}: the home of the target's region has all of it, instances with own connections
+   * share it.
+   */
+  double shareOfTarget(TargetEntry target, double perSecond) {
+    if (!isDirect(target.group())) {
+      return isHomeOf(target) ? perSecond : 0;
+    }
+    Set<String> ids = new HashSet<>(fleet.instanceIds());
+    ids.add(self);
+    double ownHash = Rendezvous.unitHash(target.id(), self);
+    int rank = 0;
+    for (String id : ids) {
+      rank += Rendezvous.unitHash(target.id(), id) > ownHash ? 1 : 0;
+    }
+    return ColdTargets.shareOf(perSecond, rank, ids.size());
+  }
+
+  private boolean isHomeOf(TargetEntry target) {
+    String region = regions.regionOf(target.failureDomain());
+    List<String> ranked = plans.of(target.group()).rankedInstances(target.group(), region);
+    return !ranked.isEmpty() && ranked.get(0).equals(self);
+  }
+
   /**
    * Returns the instances that may serve {@code group} in the region in which this instance is one
    * of them, or an empty list.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -25,6 +25,8 @@
   private static final String EVACUATED = "the target's failure domain is evacuated";
   private static final String ENDED_IDLE =
       "transaction was idle while others waited for its connection and was rolled back";
+  // A statement and the commit.
+  private static final int REQUESTS_AT_ONCE = 2;
 
   private final GatewayContext context;
   private final Route route;
@@ -34,6 +36,9 @@
   private final long begunNanos;
   private TargetSearch search;
   private TargetConnection connection;
+  // Whether a request was counted at takenNanos for the first statement.
+  private boolean taken;
+  private long takenNanos;
   private boolean wrote;
   private boolean ended;
   private String abortReason;
@@ -100,8 +105,18 @@
     completeAborted(TargetSearch.NO_ALLOWED_TARGET);
   }
 
+  @Override
+  public int requestsAtOnce() {
+    return REQUESTS_AT_ONCE;
+  }
+
   @Override
   public void found(TargetConnection found, Position atLeast) {
+    if (!search.tryTake(found)) {
+      return;
+    }
+    taken = true;
+    takenNanos = context.loop().nowNanos();
     long attemptDeadlineNanos = context.loop().nowNanos() + ATTEMPT_TIMEOUT_NANOS;
     found.run(
         new TargetCommand.Begin(atLeast != null, atLeast),
@@ -133,6 +148,7 @@
     boolean commit = statement.kind() == StatementKind.COMMIT;
     wrote |= !commit && session.writes(statement);
     target.recordSent();
+    countRequest(target);
     TargetCommand command =
         commit
             ? new TargetCommand.Run(statement.id(), statement.text(), null)
@@ -153,6 +169,15 @@
         });
   }
 
+  private void countRequest(TargetState target) {
+    if (taken) {
+      context.warmUps().move(target, takenNanos);
+      taken = false;
+    } else {
+      context.warmUps().record(target);
+    }
+  }
+
   private void answered(TargetReply reply) {
     if (reply.ok()) {
       complete(StatementOutcome.of(reply, SessionState.IN_TRANSACTION));
