Skip the warm-up accounting of groups without a bound

Cause: each tick built a name and a part of the bound for every target, also where the declaration bounds nothing.

Run: GatewayColdTargetTest 5 and BoundaryTest 3 green.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WarmUpLimits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WarmUpLimits.java
@@ -61,7 +61,10 @@
   private void update(TargetState target) {
     TargetEntry entry = target.entry();
     DeclaredGroup group = declarations.current().groups().get(entry.group());
-    boolean bounded = group != null && group.coldPerSecond() > 0;
+    if (group == null || group.coldPerSecond() <= 0) {
+      target.setWarm();
+      return;
+    }
     String home =
         homes.isDirect(entry.group())
             ? null
@@ -70,7 +73,7 @@
         target,
         group,
         home,
-        bounded ? share(entry, group.coldPerSecond()) : 0,
+        share(entry, group.coldPerSecond()),
         loop.nowNanos(),
         loop.clock().timeOfDayMs());
   }
