Send reads to another region without waiting for a ping

Cause: a statement that is forwarded over a link that was silent for 0.5 s waits for the answer to a ping. Most links between regions are used less often than that, so that a read on a primary route takes two round trips of 60 ms.

Single reads, and statements of a begun transaction except its commit, are sent to another region together with the ping. If the link does not work, they are lost after the same 400 ms: a read is then retried at the next home, and a begun transaction ends as aborted, as it did after a failed ping. Writes, commits and first statements still wait, since they would end in doubt or could not be retried. Ruled out: frequent pings on all links between regions, for their bytes. Links within a region behave as before.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -125,7 +125,16 @@
   }
 
   private String ownRegion() {
-    return regions.regionOf(fleet.failureDomainOf(self));
+    return regionOf(self);
+  }
+
+  private String regionOf(String instance) {
+    return regions.regionOf(fleet.failureDomainOf(instance));
+  }
+
+  /** Returns whether {@code peer} is in another region than this instance. */
+  boolean isInOtherRegion(String peer) {
+    return !regionOf(peer).equals(ownRegion());
   }
 
   /** Returns whether this instance is the home of {@code group} in a region. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -16,7 +16,8 @@
  * the heartbeat timeout, since a connection can fail without a reset, and is then reopened.
  *
  * <p>A link whose peer's status this instance does not need carries few heartbeats while it is
- * idle. Before a statement is sent over such a link, a ping shows that it still works.
+ * idle. Before a statement is sent over such a link, a ping shows that it still works. A statement
+ * that can be lost without harm may be sent together with the ping.
  *
  * <p>Invariant: each forwarded statement ends exactly once; it is reported as not sent only if none
  * of it was sent. Thread safety: confined to the loop's thread.
@@ -71,6 +72,7 @@
   private TcpChannel channel;
   private boolean open;
   private boolean up;
+  private boolean probing;
   private boolean needsStatus = true;
   private long statusNeededSinceNanos;
   private boolean closing;
@@ -149,6 +151,7 @@
     lastOpenOrCloseNanos = loop.nowNanos();
     lastReceivedNanos = lastOpenOrCloseNanos;
     pingSentNanos.clear();
+    probing = false;
     channel = TcpChannel.connect(loop, address, this);
   }
 
@@ -157,31 +160,41 @@
     return ++lastTransaction;
   }
 
-  /** Sends a statement to the peer, once the link has shown that it works. */
-  void forward(PeerMessage.Forward forward, long timeoutMs, ForwardListener onEnd) {
+  /**
+   * Sends a statement to the peer, once the link has shown that it works.
+   *
+   * @param atOnce whether to send it before that; if the link does not work, the statement is lost,
+   *     which is noticed as early as otherwise. Between regions, waiting for a ping would double
+   *     the time that the statement takes.
+   */
+  void forward(PeerMessage.Forward forward, long timeoutMs, boolean atOnce, ForwardListener onEnd) {
     if (!open || channel.isClosed()) {
       onEnd.notSent();
       return;
     }
     HeldForward held = new HeldForward(forward, timeoutMs, loop.nowNanos(), onEnd);
-    if (loop.nowNanos() - lastReceivedNanos < RECENT_NANOS) {
+    boolean recent = loop.nowNanos() - lastReceivedNanos < RECENT_NANOS;
+    if (recent || atOnce) {
       sendForward(held);
-      return;
+    } else {
+      heldForwards.add(held);
     }
-    heldForwards.add(held);
-    if (heldForwards.size() == 1) {
+    if (!recent && !probing) {
       probe();
     }
   }
 
   private void probe() {
+    probing = true;
     sendPing();
     long connection = connectionNumber;
     long receivedNanos = lastReceivedNanos;
     loop.after(
         PROBE_TIMEOUT_MS,
         () -> {
-          boolean silent = connection == connectionNumber && lastReceivedNanos == receivedNanos;
+          boolean sameConnection = connection == connectionNumber;
+          boolean silent = sameConnection && lastReceivedNanos == receivedNanos;
+          probing &= !sameConnection;
           if (silent && !channel.isClosed()) {
             channel.close();
             closed("no answer to a probe");
@@ -306,6 +319,7 @@
   @Override
   public void received(ByteBuffer in) {
     lastReceivedNanos = loop.nowNanos();
+    probing = false;
     if (!heldForwards.isEmpty()) {
       sendHeldForwards();
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -69,6 +69,7 @@
         session.forwardMessage(
             next, transactionNumber, readOnly, organisation, route, counted, ageMs),
         route.statementTimeoutMs(),
+        begun && !commit && homes.isInOtherRegion(link.peer()),
         new OutboundPeerLink.ForwardListener() {
           @Override
           public void answered(StatementOutcome outcome) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -77,6 +77,7 @@
         session.forwardMessage(
             statement, 0, false, admission.organisation(), route, counted, ageMs),
         Math.max(0, route.statementTimeoutMs() - ageMs),
+        !writes && context.homes().isInOtherRegion(home.peer()),
         new OutboundPeerLink.ForwardListener() {
           @Override
           public void answered(StatementOutcome outcome) {
