--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -79,6 +79,7 @@
         session.forwardMessage(
             next, transactionNumber, readOnly, organisation, route, counted, ageMs, allowed),
         route.statementTimeoutMs(),
+        begun && !commit && homes.isInOtherRegion(link.peer()),
         new OutboundPeerLink.ForwardListener() {
           @Override
           public void answered(StatementOutcome outcome) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -88,6 +88,7 @@
             ageMs,
             admission.allowed()),
         Math.max(0, route.statementTimeoutMs() - ageMs),
+        !writes && context.homes().isInOtherRegion(home.peer()),
         new OutboundPeerLink.ForwardListener() {
           @Override
           public void answered(StatementOutcome outcome) {
