--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/SoakCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/SoakCommand.java
@@ -25,7 +25,9 @@
   public int run(List<String> arguments, PrintStream out) throws Exception {
     Options options =
         new Options(
-            "soak [--seed N] [--minutes M] [--instances K] [--plant CHECK] [--restore-store]");
+            "soak [--seed N] [--minutes M] [--instances K] [--plant CHECK] [--restore-store]"
+                + " [--evacuate]");
+    options.parser().accepts("evacuate", "Also evacuate failure domains");
     OptionSpec<Long> seed =
         options
             .parser()
@@ -71,7 +73,8 @@
                 (long) (parsed.valueOf(minutes) * SECONDS_PER_MINUTE),
                 parsed.valueOf(instances),
                 parsed.valueOf(plant),
-                parsed.has("restore-store")),
+                parsed.has("restore-store"),
+                parsed.has("evacuate")),
             out);
     return violations == 0 ? ExitCode.OK : ExitCode.FAILED;
   }
