Bound the statements in flight at targets of urgent groups

Cause: a target's own queue is first come, first served. A burst of listings or one organisation's flood fills it, and urgent statements wait behind it or are refused.

Change: StatementWindow bounds what is in flight between the slots and twice that; a place belongs to a connection with commands in flight or being opened. WindowedDispatch gives free places to open transactions first and then to waiting requests in the order of FairWaitQueue. Commands that were never sent are reported as not run. A connection freed by the rollback of an idle transaction counts for the statement that lacked one even if a probe of the instance uses it in between. Idle connections move to a class of their own.

--- a/core/src/test/java/io/hickorydrift/core/scheduling/Replay.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/Replay.java
@@ -100,11 +100,11 @@
     }
     incident.accept(clock, target);
     clock.runUntil(lastNanos + DRAIN_MS * MS);
-    return new Outcome(copies, target.busyAnswers);
+    return new Outcome(copies, target.busyAnswers, pool.window.inFlight());
   }
 
   /** What became of all requests under one rule. */
-  record Outcome(List<ReplayedRequest> requests, int busyAnswers) {
+  record Outcome(List<ReplayedRequest> requests, int busyAnswers, int placesTaken) {
     double inTime(Predicate<ReplayedRequest> filter) {
       return requests.stream()
           .filter(filter)
@@ -132,7 +132,7 @@
           r -> byOrganisation.computeIfAbsent(r.organisation, key -> new ArrayList<>()).add(r));
       return byOrganisation.entrySet().stream()
           .filter(each -> filter.test(each.getKey()) && each.getValue().size() >= minRequests)
-          .mapToDouble(each -> new Outcome(each.getValue(), 0).inTime())
+          .mapToDouble(each -> new Outcome(each.getValue(), 0, 0).inTime())
           .min()
           .orElse(1);
     }
--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.connection.EvictionPolicy;
 import io.hickorydrift.core.connection.OpeningPolicy;
 import io.hickorydrift.core.scheduling.ReplayedRequest.Result;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +44,8 @@
   private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
   private final List<Connection> connections = new ArrayList<>();
   private final List<Connection> idle = new ArrayList<>();
+  private final ArrayDeque<Connection> gated = new ArrayDeque<>();
+  final StatementWindow window;
 
   ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
     this.clock = clock;
@@ -50,38 +53,38 @@
     this.budget = budget;
     this.scheduled = scheduled;
     queue = scheduled ? new FairWaitQueue<>() : new PriorityWaitQueue<>();
+    window = new StatementWindow(target.slots);
     clock.after(TICK_NANOS, this::tick);
   }
 
   void start(ReplayedRequest request) {
     evictor.recordUse(request.organisation, clock.nowNanos());
-    for (int i = idle.size() - 1; i >= 0; i--) {
-      if (idle.get(i).organisation.equals(request.organisation)) {
-        begin(idle.remove(i), request);
-        return;
-      }
+    Connection own = scheduled ? null : idleOf(request.organisation);
+    if (own != null) {
+      idle.remove(own);
+      begin(own, request);
+      return;
     }
-    long deadlineNanos = request.arrivalNanos + MAX_WAIT_NANOS;
-    queue.add(
+    WaitingRequest waiting =
         new WaitingRequest(
             request.organisation,
             request.priority,
             clock.nowNanos(),
             request.arrivalNanos,
             request.objectiveNanos,
-            deadlineNanos,
-            request.serviceNanos[0]),
-        new Waiter(
-            new WaitingRequest(
-                request.organisation,
-                request.priority,
-                clock.nowNanos(),
-                request.arrivalNanos,
-                request.objectiveNanos,
-                deadlineNanos,
-                request.serviceNanos[0]),
-            request));
-    openForWaiting();
+            request.arrivalNanos + MAX_WAIT_NANOS,
+            request.serviceNanos[0]);
+    queue.add(waiting, new Waiter(waiting, request));
+    serveWaiting();
+  }
+
+  private Connection idleOf(String organisation) {
+    for (int i = idle.size() - 1; i >= 0; i--) {
+      if (idle.get(i).organisation.equals(organisation)) {
+        return idle.get(i);
+      }
+    }
+    return null;
   }
 
   private void begin(Connection connection, ReplayedRequest request) {
@@ -90,17 +93,109 @@
   }
 
   private void runNext(Connection connection) {
-    ReplayedRequest request = connection.holder;
     connection.running = true;
+    if (scheduled && !window.hasRoom()) {
+      gated.add(connection);
+      return;
+    }
+    send(connection);
+  }
+
+  private void send(Connection connection) {
+    ReplayedRequest request = connection.holder;
+    window.take();
+    long sentNanos = clock.nowNanos();
     target.run(
         request.serviceNanos[request.nextStatement],
         ran -> {
           connection.running = false;
+          if (ran) {
+            window.recordAnswer(clock.nowNanos() - sentNanos);
+          } else {
+            window.recordBusy();
+          }
+          window.giveBack();
           request.lastUsedNanos = clock.nowNanos();
           answered(connection, request, ran);
+          serveWaiting();
         });
   }
 
+  /** Gives free places to open transactions first, then to waiting requests in their order. */
+  private void serveWaiting() {
+    if (!scheduled) {
+      openForWaiting();
+      return;
+    }
+    while (!gated.isEmpty() && window.hasRoom()) {
+      send(gated.poll());
+    }
+    for (Waiter next : queue.items(clock.nowNanos())) {
+      if (!window.hasRoom()) {
+        return;
+      }
+      Connection own = idleOf(next.request.organisation());
+      if (own != null) {
+        queue.poll(waiter -> waiter == next, clock.nowNanos());
+        idle.remove(own);
+        begin(own, next.replayed);
+      } else if (openingCount() < MAX_OPENING) {
+        openFor(next);
+      }
+    }
+  }
+
+  private void openFor(Waiter waiter) {
+    OpeningPolicy.Decision decision = decide(waiter);
+    if (decision == OpeningPolicy.Decision.REPLACE && !evictFor(waiter)) {
+      endIdleTransactions();
+    } else if (decision != OpeningPolicy.Decision.WAIT) {
+      window.take();
+      open(waiter.request.organisation());
+    }
+  }
+
+  /** Closes an idle connection that nobody waits for, or one that has to make room. */
+  private boolean evictFor(Waiter waiter) {
+    List<Connection> candidates = new ArrayList<>();
+    for (Connection each : idle) {
+      if (firstOf(each.organisation) == null) {
+        candidates.add(each);
+      }
+    }
+    if (candidates.isEmpty()) {
+      Connection room = roomFor(waiter);
+      if (room != null) {
+        idle.remove(room);
+        connections.remove(room);
+      }
+      return room != null;
+    }
+    List<String> organisations = new ArrayList<>();
+    candidates.forEach(each -> organisations.add(each.organisation));
+    Connection victim = candidates.get(evictor.selectVictim(organisations, clock.nowNanos()));
+    idle.remove(victim);
+    connections.remove(victim);
+    return true;
+  }
+
+  private Connection roomFor(Waiter first) {
+    Set<String> organisations = new HashSet<>();
+    connections.forEach(each -> organisations.add(each.organisation));
+    queue.items(clock.nowNanos()).forEach(w -> organisations.add(w.request.organisation()));
+    for (Connection each : idle) {
+      if (FreedConnectionPolicy.makesRoom(
+          first.request,
+          firstOf(each.organisation).request,
+          (int) countOf(each.organisation),
+          budget / organisations.size(),
+          clock.nowNanos())) {
+        return each;
+      }
+    }
+    return null;
+  }
+
   private void answered(Connection connection, ReplayedRequest request, boolean ran) {
     if (!ran && request.nextStatement > 0) {
       clock.after(BACKOFF_NANOS, () -> runNext(connection));
@@ -135,33 +230,12 @@
 
   private void release(Connection connection) {
     connection.holder = null;
-    if (scheduled && openingCount() == 0 && makesRoom(connection)) {
-      connections.remove(connection);
-      openForWaiting();
-      return;
-    }
-    handOver(connection);
-  }
-
-  private boolean makesRoom(Connection connection) {
-    Waiter own = firstOf(connection.organisation);
-    for (Waiter first : queue.items(clock.nowNanos())) {
-      if (own == null || first == own) {
-        return false;
-      }
-      if (decide(first) == OpeningPolicy.Decision.REPLACE) {
-        Set<String> organisations = new HashSet<>();
-        connections.forEach(each -> organisations.add(each.organisation));
-        queue.items(clock.nowNanos()).forEach(w -> organisations.add(w.request.organisation()));
-        return FreedConnectionPolicy.makesRoom(
-            first.request,
-            own.request,
-            (int) countOf(connection.organisation),
-            budget / organisations.size(),
-            clock.nowNanos());
-      }
+    if (scheduled) {
+      idle.add(connection);
+      serveWaiting();
+    } else {
+      handOver(connection);
     }
-    return false;
   }
 
   private Waiter firstOf(String organisation) {
@@ -185,7 +259,7 @@
       return;
     }
     idle.add(connection);
-    openForWaiting();
+    serveWaiting();
   }
 
   private long openingCount() {
@@ -216,7 +290,6 @@
       }
       OpeningPolicy.Decision decision = decide(next);
       if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
-        endIdleTransactions();
         return;
       }
       if (decision != OpeningPolicy.Decision.WAIT) {
@@ -231,12 +304,16 @@
     target.run(
         OPEN_NANOS,
         opened -> {
+          if (scheduled) {
+            window.giveBack();
+          }
           if (opened) {
             connection.open = true;
             handOver(connection);
           } else {
             connections.remove(connection);
           }
+          serveWaiting();
         });
   }
 
@@ -251,9 +328,6 @@
   }
 
   private void endIdleTransactions() {
-    if (!scheduled) {
-      return;
-    }
     List<IdleTransactionLimits.Held<Connection>> held = new ArrayList<>();
     for (Connection each : connections) {
       if (each.holder != null && each.holder.isTransaction()) {
@@ -271,7 +345,7 @@
     for (Waiter late : queue.removeExpired(clock.nowNanos())) {
       end(late.replayed, Result.REFUSED);
     }
-    openForWaiting();
+    serveWaiting();
     clock.after(TICK_NANOS, this::tick);
   }
 }
--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedTarget.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedTarget.java
@@ -6,6 +6,7 @@
 /** A target with slots and a queue of its own, first come, first served. */
 final class ReplayedTarget {
   private static final int MAX_QUEUED = 32;
+  private static final long ONE_WAY_NANOS = 1_000_000L;
 
   private record Work(long serviceNanos, Consumer<Boolean> onDone) {}
 
@@ -22,9 +23,13 @@
 
   /** Runs work in a slot; {@code onDone} receives false if the queue is full. */
   void run(long serviceNanos, Consumer<Boolean> onDone) {
+    clock.after(ONE_WAY_NANOS, () -> arrived(serviceNanos, onDone));
+  }
+
+  private void arrived(long serviceNanos, Consumer<Boolean> onDone) {
     if (queue.size() >= MAX_QUEUED) {
       busyAnswers++;
-      onDone.accept(false);
+      clock.after(ONE_WAY_NANOS, () -> onDone.accept(false));
       return;
     }
     queue.add(new Work(serviceNanos, onDone));
@@ -40,7 +45,7 @@
           work.serviceNanos,
           () -> {
             running--;
-            work.onDone.accept(true);
+            clock.after(ONE_WAY_NANOS, () -> work.onDone.accept(true));
             startNext();
           });
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionDemand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionDemand.java
@@ -46,26 +46,11 @@
         loop.nowNanos() - request.sinceNanos());
   }
 
-  /** Returns whether a free connection of {@code organisation} makes room for another's request. */
-  boolean makesRoom(String organisation) {
-    if (!waiters.isFair() || waiters.isEmpty()) {
-      return false;
-    }
-    for (ConnectionWaiters.Waiter first : waiters.items()) {
-      if (first.organisation().equals(organisation)) {
-        return false;
-      }
-      if (decide(first.request(), false) == OpeningPolicy.Decision.REPLACE) {
-        return makesRoom(organisation, first.request());
-      }
-    }
-    return false;
-  }
-
-  private boolean makesRoom(String organisation, WaitingRequest first) {
-    ConnectionWaiters.Waiter own = waiters.first(organisation);
+  /** Returns whether an idle connection of {@code organisation} makes room for {@code first}. */
+  boolean makesRoom(String organisation, WaitingRequest first) {
+    ConnectionWaiters.Waiter own = waiters.firstStatement(organisation);
     if (own == null) {
-      return false;
+      return true;
     }
     OpeningPolicy.Demand ownDemand = of(organisation);
     return FreedConnectionPolicy.makesRoom(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
@@ -62,10 +62,15 @@
     return queue.poll(waiter -> waiter.organisation().equals(organisation), loop.nowNanos());
   }
 
-  /** Returns the first request of {@code organisation}, or null. */
-  Waiter first(String organisation) {
+  /** Removes {@code waiter}; returns false if it does not wait any more. */
+  boolean remove(Waiter waiter) {
+    return queue.poll(each -> each == waiter, loop.nowNanos()) != null;
+  }
+
+  /** Returns the first request of {@code organisation} for a statement, or null. */
+  Waiter firstStatement(String organisation) {
     for (Waiter waiter : items()) {
-      if (waiter.organisation().equals(organisation)) {
+      if (waiter.forStatement && waiter.organisation().equals(organisation)) {
         return waiter;
       }
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HeldConnections.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HeldConnections.java
@@ -20,6 +20,7 @@
 final class HeldConnections {
   private final TargetState target;
   private final Map<TargetConnection, LocalTransaction> holders = new LinkedHashMap<>();
+  // Connections whose transactions were rolled back and that have not served a statement since.
   private final Set<TargetConnection> ending = new HashSet<>();
 
   HeldConnections(TargetState target) {
@@ -35,8 +36,8 @@
     holders.remove(connection);
   }
 
-  /** Records that {@code connection} was returned to the pool or closed. */
-  void onFreed(TargetConnection connection) {
+  /** Records that {@code connection} serves a statement again, or was closed for another one. */
+  void onReused(TargetConnection connection) {
     holders.remove(connection);
     ending.remove(connection);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
@@ -22,6 +22,18 @@
         "waiting_requests",
         "Requests that wait for a connection to the target",
         () -> pools.figures(TargetPool::waitingCount));
+    metrics.registerTargetGauge(
+        "statement_window",
+        "Maximum number of statements in flight at the target",
+        () -> pools.figures(pool -> pool.dispatch().window().size()));
+    metrics.registerTargetGauge(
+        "statements_in_flight",
+        "Places taken in the target's window",
+        () -> pools.figures(pool -> pool.dispatch().window().inFlight()));
+    metrics.registerTargetGauge(
+        "waiting_transactions",
+        "Open transactions whose statements wait for a place in the target's window",
+        () -> pools.figures(pool -> pool.dispatch().gatedCount()));
     metrics.registerTargetGauge(
         "idle_transactions",
         "Connections to the target held by transactions that run no statement",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.TargetCommand;
@@ -30,13 +31,17 @@
 final class TargetConnection implements ChannelHandler {
   /** A command that awaits its answer. */
   private static final class PendingCommand {
-    private final long sentNanos;
+    private final TargetCommand command;
     private final long deadlineNanos;
     private final Consumer<TargetReply> onReply;
     private final List<String> rows = new ArrayList<>(1);
+    private long sentNanos;
+    private boolean sent;
     private TargetMessage outcome;
 
-    private PendingCommand(long sentNanos, long deadlineNanos, Consumer<TargetReply> onReply) {
+    private PendingCommand(
+        TargetCommand command, long sentNanos, long deadlineNanos, Consumer<TargetReply> onReply) {
+      this.command = command;
       this.sentNanos = sentNanos;
       this.deadlineNanos = deadlineNanos;
       this.onReply = onReply;
@@ -118,8 +123,34 @@
       onReply.accept(lostReply("connection closed", loop.nowNanos()));
       return;
     }
-    pendingCommands.addLast(new PendingCommand(loop.nowNanos(), deadlineNanos, onReply));
-    codec.writeCommand(channel.out(), command);
+    boolean waits = waitsForPlace();
+    PendingCommand pending = new PendingCommand(command, loop.nowNanos(), deadlineNanos, onReply);
+    pendingCommands.addLast(pending);
+    // A report takes no slot of the target.
+    if (!waits && (command instanceof TargetCommand.Report || pool.dispatch().maySend(this))) {
+      send(pending);
+    }
+  }
+
+  /** Returns whether commands wait for a place in the target's window. */
+  private boolean waitsForPlace() {
+    PendingCommand last = pendingCommands.peekLast();
+    return last != null && !last.sent;
+  }
+
+  /** Sends the commands that have waited for a place. */
+  void sendWaiting() {
+    for (PendingCommand pending : pendingCommands) {
+      if (!pending.sent) {
+        pending.sentNanos = loop.nowNanos();
+        send(pending);
+      }
+    }
+  }
+
+  private void send(PendingCommand pending) {
+    pending.sent = true;
+    codec.writeCommand(channel.out(), pending.command);
   }
 
   /** Sets the session values to {@code wanted}; sends nothing if they already match. */
@@ -218,6 +249,7 @@
     PendingCommand current = pendingCommands.removeFirst();
     state = ready.state();
     target.recordApplied(ready.position());
+    recordAnswer(current);
     if (current.outcome instanceof TargetMessage.Complete complete) {
       current.onReply.accept(
           new TargetReply(
@@ -242,6 +274,22 @@
       pendingCommands.addFirst(current);
       close("answer without outcome");
     }
+    if (pendingCommands.isEmpty()) {
+      pool.dispatch().onQuiet(this);
+    }
+  }
+
+  private void recordAnswer(PendingCommand answered) {
+    boolean statement =
+        answered.command instanceof TargetCommand.Run
+            || answered.command instanceof TargetCommand.Execute;
+    if (statement) {
+      boolean busy =
+          answered.outcome instanceof TargetMessage.Failure failure
+              && failure.code() == FailureCode.BUSY;
+      long nanos = loop.nowNanos() - answered.sentNanos;
+      pool.dispatch().recordAnswer(this, busy, nanos);
+    }
   }
 
   /** Closes the connection if it was not opened, or a command not answered, by its deadline. */
@@ -280,10 +328,17 @@
     pool.onClosed(this);
     while (!pendingCommands.isEmpty()) {
       PendingCommand current = pendingCommands.removeFirst();
-      current.onReply.accept(lostReply(reason, current.sentNanos));
+      current.onReply.accept(
+          current.sent ? lostReply(reason, current.sentNanos) : notSentReply(current.sentNanos));
     }
   }
 
+  /** Returns the reply to a command that was never sent: the target ends what was open before. */
+  private static TargetReply notSentReply(long nanos) {
+    return new TargetReply(
+        List.of(), null, FailureCode.ABORTED, "not sent: no slot in time", null, null, nanos);
+  }
+
   private static TargetReply lostReply(String reason, long sentNanos) {
     return new TargetReply(List.of(), null, null, reason, null, null, sentNanos);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -1,20 +1,18 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.connection.ConnectionEvictor;
-import io.hickorydrift.core.connection.EvictionPolicy;
 import io.hickorydrift.core.connection.OpeningPolicy;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.scheduling.StatementWindow;
 import io.hickorydrift.core.scheduling.WaitingRequest;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.TargetCodec;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /**
@@ -49,12 +47,12 @@
   private final TargetState target;
   private final IntSupplier budget;
   private final List<TargetConnection> connections = new ArrayList<>();
-  private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
-  private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
+  private final IdleConnections idle = new IdleConnections();
   private final ConnectionWaiters waiters;
   private final HeldConnections held;
   private final OpenAttempts attempts;
   private final ConnectionDemand demand;
+  private final WindowedDispatch dispatch;
   private boolean draining;
   private boolean evicting;
 
@@ -73,6 +71,8 @@
     held = new HeldConnections(target);
     attempts = new OpenAttempts(loop, target);
     demand = new ConnectionDemand(loop, connections, waiters, budget);
+    StatementWindow window = new StatementWindow(target.entry().slots());
+    dispatch = new WindowedDispatch(this, waiters, demand, window);
   }
 
   TargetState target() {
@@ -84,6 +84,11 @@
     return held;
   }
 
+  /** Returns the places and the order of the target's statements. */
+  WindowedDispatch dispatch() {
+    return dispatch;
+  }
+
   /** Returns the number of requests that wait for a connection. */
   int waitingCount() {
     return waiters.count();
@@ -108,19 +113,14 @@
 
   /** Returns whether there is an idle connection of {@code organisation}. */
   boolean hasIdle(String organisation) {
-    for (TargetConnection connection : idle) {
-      if (connection.organisation().equals(organisation)) {
-        return true;
-      }
-    }
-    return false;
+    return idle.has(organisation);
   }
 
   /**
    * Removes and returns an idle connection of any organisation, or returns null without waiting.
    */
   TargetConnection pollIdle() {
-    return idle.pollLast();
+    return idle.poll();
   }
 
   /**
@@ -154,7 +154,13 @@
       listener.refused("pool is draining");
       return;
     }
-    evictor.recordUse(organisation, loop.nowNanos());
+    idle.recordUse(organisation, loop.nowNanos());
+    boolean inOrder = waiters.isFair() && waiter.forStatement();
+    if (inOrder && hasIdle(organisation)) {
+      waiters.add(waiter);
+      dispatch.serve();
+      return;
+    }
     TargetConnection connection = takeIdle(organisation);
     if (connection != null) {
       listener.acquired(connection);
@@ -174,12 +180,13 @@
       return;
     }
     waiters.add(waiter);
-    openForWaiting();
+    serveWaiting();
   }
 
   /** Returns a connection to the pool, or closes it if it cannot be reused. */
   void release(TargetConnection connection) {
-    held.onFreed(connection);
+    held.remove(connection);
+    dispatch.givePlaceBack(connection);
     if (!connection.isOpen()) {
       return;
     }
@@ -192,34 +199,36 @@
   }
 
   private void makeAvailable(TargetConnection connection) {
-    boolean mayOpen = demand.openingCount() == 0 && !attempts.isFull();
-    if (!mayOpen || !demand.makesRoom(connection.organisation())) {
+    if (waiters.isFair()) {
+      idle.add(connection);
+      serveWaiting();
+    } else {
       handOver(connection);
-      return;
     }
-    closeIdle(connection, "makes room");
-    openForWaiting();
+  }
+
+  private void serveWaiting() {
+    if (waiters.isFair()) {
+      dispatch.serve();
+    } else {
+      openForWaiting();
+    }
   }
 
   private void handOver(TargetConnection connection) {
     ConnectionWaiters.Waiter next = waiters.poll(connection.organisation());
     if (next != null) {
+      held.onReused(connection);
       next.listener().acquired(connection);
       return;
     }
-    idle.addLast(connection);
-    openForWaiting();
+    idle.add(connection);
+    serveWaiting();
   }
 
-  private TargetConnection takeIdle(String organisation) {
-    for (Iterator<TargetConnection> each = idle.descendingIterator(); each.hasNext(); ) {
-      TargetConnection connection = each.next();
-      if (connection.organisation().equals(organisation)) {
-        each.remove();
-        return connection;
-      }
-    }
-    return null;
+  /** Removes and returns an idle connection of {@code organisation}, or returns null. */
+  TargetConnection takeIdle(String organisation) {
+    return idle.take(organisation);
   }
 
   private void openForWaiting() {
@@ -230,9 +239,8 @@
       if (demand.openingCount() >= MAX_OPENING) {
         return;
       }
-      OpeningPolicy.Decision decision = demand.decide(next.request(), attempts.isFull());
-      if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
-        endIdleTransactions();
+      OpeningPolicy.Decision decision = decide(next);
+      if (decision == OpeningPolicy.Decision.REPLACE && !evictOne(any -> true)) {
         return;
       }
       if (decision != OpeningPolicy.Decision.WAIT) {
@@ -241,10 +249,17 @@
     }
   }
 
-  private void endIdleTransactions() {
-    if (waiters.isFair()) {
-      held.endExcess(budget.getAsInt(), demand::lackingCount, loop.nowNanos());
-    }
+  OpeningPolicy.Decision decide(ConnectionWaiters.Waiter waiter) {
+    return demand.decide(waiter.request(), attempts.isFull());
+  }
+
+  /** Returns whether another connection may be opened now. */
+  boolean mayOpen() {
+    return attempts.mayOpen() && demand.openingCount() < MAX_OPENING;
+  }
+
+  void endIdleTransactions() {
+    held.endExcess(budget.getAsInt(), demand::lackingCount, loop.nowNanos());
   }
 
   /** Returns whether connections cannot be opened and none has received data recently. */
@@ -265,35 +280,50 @@
     }
   }
 
-  private void open(String organisation) {
-    connections.add(new TargetConnection(loop, codec, target, organisation, this, OPEN_TIMEOUT_MS));
+  /** Opens a connection of {@code organisation}. */
+  TargetConnection open(String organisation) {
+    TargetConnection connection =
+        new TargetConnection(loop, codec, target, organisation, this, OPEN_TIMEOUT_MS);
+    connections.add(connection);
+    return connection;
   }
 
-  private boolean evictOne() {
-    if (idle.isEmpty()) {
-      return false;
+  /** Closes an idle connection that nobody waits for, or else one that has to make room. */
+  boolean evictFor(ConnectionWaiters.Waiter waiter) {
+    if (evictOne(each -> waiters.firstStatement(each.organisation()) == null)) {
+      return true;
+    }
+    TargetConnection room =
+        idle.first(each -> demand.makesRoom(each.organisation(), waiter.request()));
+    if (room != null) {
+      closeIdle(room, "makes room");
     }
-    List<TargetConnection> candidates = new ArrayList<>(idle);
-    List<String> organisations = new ArrayList<>(candidates.size());
-    candidates.forEach(connection -> organisations.add(connection.organisation()));
-    TargetConnection victim = candidates.get(evictor.selectVictim(organisations, loop.nowNanos()));
-    closeIdle(victim, "evicted");
-    return true;
+    return room != null;
+  }
+
+  private boolean evictOne(Predicate<TargetConnection> filter) {
+    TargetConnection victim = idle.leastNeeded(filter, loop.nowNanos());
+    if (victim != null) {
+      closeIdle(victim, "evicted");
+    }
+    return victim != null;
   }
 
   void onOpened(TargetConnection connection) {
     attempts.succeeded();
+    dispatch.givePlaceBack(connection);
     if (draining) {
       connection.close("pool is draining");
       return;
     }
-    // Not subject to makesRoom: closing it unused would waste the time that it took to open.
+    // Goes to its organisation in any case: to close it unused would waste the time of opening it.
     handOver(connection);
-    openForWaiting();
+    serveWaiting();
   }
 
   void onOpenFailed(TargetConnection connection, FailureCode code, String reason) {
     connections.remove(connection);
+    dispatch.onClosed(connection);
     attempts.failed(code);
     Logger.info(
         "event=open_failed target={} organisation={} code={} reason=\"{}\"",
@@ -313,9 +343,10 @@
   void onClosed(TargetConnection connection) {
     connections.remove(connection);
     idle.remove(connection);
-    held.onFreed(connection);
+    held.onReused(connection);
+    dispatch.onClosed(connection);
     if (!waiters.isEmpty() && !draining && !evicting) {
-      openForWaiting();
+      serveWaiting();
     }
   }
 
@@ -327,10 +358,11 @@
     waiters.updateOrder();
     waiters.refuseExpired(nowNanos);
     while (connections.size() > budget.getAsInt() && !idle.isEmpty()) {
-      closeIdle(idle.peekFirst(), "above the budget");
+      closeIdle(idle.longestIdle(), "above the budget");
     }
-    if (!waiters.isEmpty()) {
-      openForWaiting();
+    dispatch.window().setSlots(target.entry().slots());
+    if (!waiters.isEmpty() || dispatch.gatedCount() > 0) {
+      serveWaiting();
     }
   }
 
@@ -346,7 +378,7 @@
     draining = true;
     waiters.refuseAll("target is leaving");
     while (!idle.isEmpty()) {
-      idle.pollFirst().close("target is leaving");
+      closeIdle(idle.longestIdle(), "target is leaving");
     }
   }
 
