Refuse statements of urgent groups on arrival by their predicted wait

Cause: under overload, statements that cannot be served in time wait at the home until they are refused, and their callers learn too late that they have to retry.

Change: a first statement that cannot be sent at once is refused if its predicted wait (requests before it, times the measured interval between services) exceeds what its timeout or the hold time leaves, or the route's objective while work of its priority or a higher one waits. The retry delay is spread by a hash of the statement id. Histograms compare the prediction with the actual wait.

Ruled out: slots and service time as the basis of the prediction, since transactions hold connections for several statements.

Known: requests of low priority that later urgent work overtakes wait longer than predicted and are refused after 400 ms as before.

--- a/core/src/main/java/io/hickorydrift/core/admission/PriorityWaitQueue.java
+++ b/core/src/main/java/io/hickorydrift/core/admission/PriorityWaitQueue.java
@@ -90,6 +90,15 @@
     return count;
   }
 
+  @Override
+  public int countBefore(WaitingRequest request, long nowNanos) {
+    int count = 0;
+    for (Entry<T> entry : entries) {
+      count += entry.priority <= request.priority() ? 1 : 0;
+    }
+    return count;
+  }
+
   @Override
   public boolean isEmpty() {
     return entries.isEmpty();
--- a/core/src/main/java/io/hickorydrift/core/scheduling/FairWaitQueue.java
+++ b/core/src/main/java/io/hickorydrift/core/scheduling/FairWaitQueue.java
@@ -109,6 +109,21 @@
     return count;
   }
 
+  @Override
+  public int countBefore(WaitingRequest request, long nowNanos) {
+    Entry<T> added = new Entry<>(request, virtualTime, null);
+    entries.add(added);
+    List<Tagged<T>> tagged = tagged();
+    entries.remove(entries.size() - 1);
+    Tagged<T> last = tagged.get(tagged.size() - 1);
+    Comparator<Tagged<T>> order = orderAt(nowNanos);
+    int count = 0;
+    for (Tagged<T> each : tagged) {
+      count += each != last && order.compare(each, last) <= 0 ? 1 : 0;
+    }
+    return count;
+  }
+
   @Override
   public boolean isEmpty() {
     return entries.isEmpty();
--- a/core/src/main/java/io/hickorydrift/core/scheduling/WaitQueue.java
+++ b/core/src/main/java/io/hickorydrift/core/scheduling/WaitQueue.java
@@ -25,6 +25,9 @@
   /** Returns the number of queued items that match {@code filter}. */
   int count(Predicate<T> filter);
 
+  /** Returns how many of the queued items would be served before {@code request}. */
+  int countBefore(WaitingRequest request, long nowNanos);
+
   /** Returns whether the queue is empty. */
   boolean isEmpty();
 }
--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -22,6 +22,7 @@
   private static final long TICK_NANOS = 50_000_000L;
   private static final long BACKOFF_NANOS = 15_000_000L;
   private static final int MAX_OPENING = 2;
+  private static final long TIMEOUT_NANOS = 1_500_000_000L;
 
   private static final class Connection {
     private final String organisation;
@@ -46,6 +47,7 @@
   private final List<Connection> idle = new ArrayList<>();
   private final ArrayDeque<Connection> gated = new ArrayDeque<>();
   final StatementWindow window;
+  private final WaitPrediction prediction = new WaitPrediction();
 
   ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
     this.clock = clock;
@@ -74,10 +76,28 @@
             request.objectiveNanos,
             request.arrivalNanos + MAX_WAIT_NANOS,
             request.serviceNanos[0]);
+    if (scheduled && !isFree(request.organisation) && refusesAtOnce(waiting)) {
+      end(request, Result.REFUSED);
+      return;
+    }
     queue.add(waiting, new Waiter(waiting, request));
     serveWaiting();
   }
 
+  /** Returns whether the window has room and a connection of the organisation is free. */
+  private boolean isFree(String organisation) {
+    return window.hasRoom() && (idleOf(organisation) != null || connections.size() < budget);
+  }
+
+  private boolean refusesAtOnce(WaitingRequest waiting) {
+    int ahead = queue.countBefore(waiting, clock.nowNanos());
+    boolean queued = queue.count(w -> w.request.priority() <= waiting.priority()) > 0;
+    long waitNanos = prediction.waitNanos(ahead);
+    return ImmediateRefusal.retryAfterMs(
+            waiting, waitNanos, TIMEOUT_NANOS, queued, 0.5, clock.nowNanos())
+        != ImmediateRefusal.WAIT;
+  }
+
   private Connection idleOf(String organisation) {
     for (int i = idle.size() - 1; i >= 0; i--) {
       if (idle.get(i).organisation.equals(organisation)) {
@@ -130,29 +150,38 @@
     while (!gated.isEmpty() && window.hasRoom()) {
       send(gated.poll());
     }
+    boolean lacking = false;
+    Set<String> unserved = new HashSet<>();
     for (Waiter next : queue.items(clock.nowNanos())) {
+      String organisation = next.request.organisation();
       if (!window.hasRoom()) {
-        return;
+        break;
       }
-      Connection own = idleOf(next.request.organisation());
+      Connection own = idleOf(organisation);
       if (own != null) {
         queue.poll(waiter -> waiter == next, clock.nowNanos());
         idle.remove(own);
+        prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
         begin(own, next.replayed);
-      } else if (openingCount() < MAX_OPENING) {
-        openFor(next);
+      } else if (unserved.add(organisation) && openingCount() < MAX_OPENING) {
+        lacking |= !openFor(next);
       }
     }
+    if (lacking) {
+      endIdleTransactions();
+    }
   }
 
-  private void openFor(Waiter waiter) {
+  private boolean openFor(Waiter waiter) {
     OpeningPolicy.Decision decision = decide(waiter);
     if (decision == OpeningPolicy.Decision.REPLACE && !evictFor(waiter)) {
-      endIdleTransactions();
-    } else if (decision != OpeningPolicy.Decision.WAIT) {
+      return false;
+    }
+    if (decision != OpeningPolicy.Decision.WAIT) {
       window.take();
       open(waiter.request.organisation());
     }
+    return true;
   }
 
   /** Closes an idle connection that nobody waits for, or one that has to make room. */
@@ -255,6 +284,7 @@
             waiter -> waiter.request.organisation().equals(connection.organisation),
             clock.nowNanos());
     if (next != null) {
+      prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
       begin(connection, next.replayed);
       return;
     }
@@ -335,10 +365,11 @@
         held.add(new IdleTransactionLimits.Held<>(each.organisation, lastUsedNanos, each));
       }
     }
-    int lacking = queue.count(each -> decide(each) == OpeningPolicy.Decision.REPLACE);
-    IdleTransactionLimits.excess(held, budget, clock.nowNanos()).stream()
-        .limit(lacking)
-        .forEach(this::release);
+    List<Connection> excess = IdleTransactionLimits.excess(held, budget, clock.nowNanos());
+    if (!excess.isEmpty()) {
+      int lacking = queue.count(each -> decide(each) == OpeningPolicy.Decision.REPLACE);
+      excess.stream().limit(lacking).forEach(this::release);
+    }
   }
 
   private void tick() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
@@ -139,9 +139,8 @@
   }
 
   /** Requests the report of {@code replica} and records it; calls {@code onDone} in any case. */
-  private TargetPool.AcquireListener reportRequest(
-      TargetState replica, long deadlineNanos, Runnable onDone) {
-    return new TargetPool.AcquireListener() {
+  private AcquireListener reportRequest(TargetState replica, long deadlineNanos, Runnable onDone) {
+    return new AcquireListener() {
       @Override
       public void acquired(TargetConnection connection) {
         pools.requestReport(
@@ -167,7 +166,7 @@
     TargetState replica = round.replicas.get(round.next++);
     round.outstanding++;
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
-    TargetPool.AcquireListener request =
+    AcquireListener request =
         reportRequest(replica, deadlineNanos, () -> reportArrived(group, queue, round));
     String organisation = queue.pending.get(0).organisation;
     // A connection of the organisation may have to be opened first, which takes as long as several
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
@@ -19,8 +19,10 @@
    * A request and its listener.
    *
    * @param forStatement whether a caller's statement waits, rather than an exchange of the instance
+   * @param predictedNanos predicted wait
    */
-  record Waiter(WaitingRequest request, TargetPool.AcquireListener listener, boolean forStatement) {
+  record Waiter(
+      WaitingRequest request, AcquireListener listener, boolean forStatement, long predictedNanos) {
     String organisation() {
       return request.organisation();
     }
@@ -52,6 +54,17 @@
     waiting.forEach(waiter -> queue.add(waiter.request, waiter));
   }
 
+  /** Returns a request for an exchange of the instance, which ages within its deadline. */
+  Waiter ownExchange(
+      String organisation, int priority, long deadlineNanos, AcquireListener listener) {
+    long nowNanos = loop.nowNanos();
+    long objectiveNanos = Math.max(0, deadlineNanos - nowNanos);
+    WaitingRequest request =
+        new WaitingRequest(
+            organisation, priority, nowNanos, nowNanos, objectiveNanos, deadlineNanos, 0);
+    return new Waiter(request, listener, false, 0);
+  }
+
   void add(Waiter waiter) {
     updateOrder();
     queue.add(waiter.request, waiter);
@@ -86,6 +99,16 @@
     return queue.count(waiter -> waiter.organisation().equals(organisation));
   }
 
+  /** Returns how many requests would be served before {@code request}. */
+  int countBefore(WaitingRequest request) {
+    return queue.countBefore(request, loop.nowNanos());
+  }
+
+  /** Returns whether work of {@code priority} or a higher one waits. */
+  boolean hasPriority(int priority) {
+    return queue.count(waiter -> waiter.request.priority() <= priority) > 0;
+  }
+
   int count() {
     return queue.count(any -> true);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -81,7 +81,8 @@
     }
     Position lastCommit = session.lastCommit(route.group());
     search =
-        new TargetSearch(context, route, organisation, readOnly, lastCommit, receivedNanos, this);
+        new TargetSearch(
+            context, route, organisation, next.id(), readOnly, lastCommit, receivedNanos, this);
     search.tryNext();
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
@@ -98,8 +98,8 @@
     long probeStartNanos = loop.nowNanos();
     String organisation = anyOrganisation();
     TargetPool pool = pools.poolFor(primary);
-    TargetPool.AcquireListener listener =
-        new TargetPool.AcquireListener() {
+    AcquireListener listener =
+        new AcquireListener() {
           @Override
           public void acquired(TargetConnection connection) {
             sendProbe(group, primary, reachability, connection, probeStartNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -199,8 +199,8 @@
     String organisation =
         declarations.current().organisations().keySet().stream().findFirst().orElse("-");
     TargetPool pool = pools.poolFor(target);
-    TargetPool.AcquireListener listener =
-        new TargetPool.AcquireListener() {
+    AcquireListener listener =
+        new AcquireListener() {
           @Override
           public void acquired(TargetConnection connection) {
             pools.requestReport(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -66,6 +66,7 @@
             context,
             route,
             organisation,
+            statement.id(),
             true,
             session.lastCommit(route.group()),
             receivedNanos,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
@@ -4,7 +4,7 @@
 import io.hickorydrift.proxy.net.EventLoop;
 
 /**
- * Gauges of the targets of groups with urgent work.
+ * Figures of the targets of groups with urgent work.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -18,6 +18,11 @@
   }
 
   void register(Metrics metrics) {
+    pools.observeWaits(
+        (priority, waitedNanos, predictedNanos) -> {
+          metrics.recordWait(priority, waitedNanos);
+          metrics.recordPredictionError(predictedNanos - waitedNanos);
+        });
     metrics.registerTargetGauge(
         "waiting_requests",
         "Requests that wait for a connection to the target",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -33,15 +33,6 @@
   private static final long RECENTLY_RECEIVED_NANOS = 400_000_000L;
   private static final String RULED_OUT_REASON = "another process answers at the target's address";
 
-  /** Receives the result of a request for a connection. */
-  interface AcquireListener {
-    /** Receives a connection, which has to be returned with {@link #release}. */
-    void acquired(TargetConnection connection);
-
-    /** Reports that no connection was available in time; nothing was sent. */
-    void refused(String reason);
-  }
-
   private final EventLoop loop;
   private final TargetCodec codec;
   private final TargetState target;
@@ -52,6 +43,7 @@
   private final HeldConnections held;
   private final OpenAttempts attempts;
   private final ConnectionDemand demand;
+  private final PredictedWaits predicted;
   private final WindowedDispatch dispatch;
   private boolean draining;
   private boolean evicting;
@@ -62,7 +54,8 @@
       TargetCodec codec,
       TargetState target,
       IntSupplier budget,
-      BooleanSupplier urgent) {
+      BooleanSupplier urgent,
+      WaitObserver observer) {
     this.loop = loop;
     this.codec = codec;
     this.target = target;
@@ -72,7 +65,8 @@
     attempts = new OpenAttempts(loop, target);
     demand = new ConnectionDemand(loop, connections, waiters, budget);
     StatementWindow window = new StatementWindow(target.entry().slots());
-    dispatch = new WindowedDispatch(this, waiters, demand, window);
+    predicted = new PredictedWaits(loop, waiters, window, observer);
+    dispatch = new WindowedDispatch(this, waiters, demand, window, predicted);
   }
 
   TargetState target() {
@@ -99,9 +93,7 @@
     return connections.size();
   }
 
-  /**
-   * Returns whether data was received from the target on any connection after {@code sinceNanos}.
-   */
+  /** Returns whether data was received on any connection after {@code sinceNanos}. */
   boolean receivedSince(long sinceNanos) {
     for (TargetConnection connection : connections) {
       if (connection.isOpen() && connection.lastReceivedNanos() - sinceNanos > 0) {
@@ -116,9 +108,7 @@
     return idle.has(organisation);
   }
 
-  /**
-   * Removes and returns an idle connection of any organisation, or returns null without waiting.
-   */
+  /** Removes and returns an idle connection of any organisation, or null without waiting. */
   TargetConnection pollIdle() {
     return idle.poll();
   }
@@ -134,17 +124,31 @@
 
   /** Requests a connection for an exchange of the instance's own, which runs no statement. */
   void acquire(String organisation, int priority, long deadlineNanos, AcquireListener listener) {
-    long nowNanos = loop.nowNanos();
-    long objectiveNanos = Math.max(0, deadlineNanos - nowNanos);
-    WaitingRequest request =
-        new WaitingRequest(
-            organisation, priority, nowNanos, nowNanos, objectiveNanos, deadlineNanos, 0);
-    acquire(new ConnectionWaiters.Waiter(request, listener, false));
+    acquire(waiters.ownExchange(organisation, priority, deadlineNanos, listener));
   }
 
-  /** Requests a connection for a statement. */
-  void acquire(WaitingRequest request, AcquireListener listener) {
-    acquire(new ConnectionWaiters.Waiter(request, listener, true));
+  /**
+   * Requests a connection for a statement, which is refused at once if it would wait for too long.
+   *
+   * @param timeoutNanos statement timeout
+   * @param unitHash hash of the statement in [0, 1), which spreads the retries of many callers
+   */
+  void acquire(
+      WaitingRequest request, long timeoutNanos, double unitHash, AcquireListener listener) {
+    boolean waits = waiters.isFair() && !isFree(request.organisation());
+    WaitRefusal refusal = waits ? predicted.refusal(request, timeoutNanos, unitHash) : null;
+    if (refusal == null) {
+      long predictedNanos = waits ? predicted.predict(request) : 0;
+      acquire(new ConnectionWaiters.Waiter(request, listener, true, predictedNanos));
+    } else {
+      listener.refusedAtOnce(refusal);
+    }
+  }
+
+  /** Returns whether the window has room and there is or may be opened a connection. */
+  private boolean isFree(String organisation) {
+    boolean mayGrow = connections.size() < budget.getAsInt() && !attempts.isFull();
+    return dispatch.hasRoom() && (mayGrow || idle.has(organisation));
   }
 
   private void acquire(ConnectionWaiters.Waiter waiter) {
@@ -219,6 +223,7 @@
     ConnectionWaiters.Waiter next = waiters.poll(connection.organisation());
     if (next != null) {
       held.onReused(connection);
+      predicted.onServed(next);
       next.listener().acquired(connection);
       return;
     }
@@ -264,11 +269,7 @@
 
   /** Returns whether connections cannot be opened and none has received data recently. */
   boolean isUnreachable() {
-    return attempts.haveFailed() && !receivedRecently();
-  }
-
-  private boolean receivedRecently() {
-    return receivedSince(loop.nowNanos() - RECENTLY_RECEIVED_NANOS);
+    return attempts.haveFailed() && !receivedSince(loop.nowNanos() - RECENTLY_RECEIVED_NANOS);
   }
 
   /** Opens one connection, to detect whether an unreachable target is reachable again. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -23,6 +23,7 @@
   private final TargetCodec codec;
   private final HomeRouter homes;
   private final Declarations declarations;
+  private WaitObserver observer = (priority, waitedNanos, predictedNanos) -> {};
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
 
   TargetPools(EventLoop loop, TargetCodec codec, HomeRouter homes, Declarations declarations) {
@@ -32,6 +33,11 @@
     this.declarations = declarations;
   }
 
+  /** Sets the observer of the waits of statements. */
+  void observeWaits(WaitObserver newObserver) {
+    observer = newObserver;
+  }
+
   TargetPool poolFor(TargetState target) {
     return pools.computeIfAbsent(
         target,
@@ -41,7 +47,8 @@
                 codec,
                 target,
                 () -> budget(target),
-                () -> declarations.isUrgent(target.entry().group())));
+                () -> declarations.isUrgent(target.entry().group()),
+                (priority, waited, predicted) -> observer.served(priority, waited, predicted)));
   }
 
   /**
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.scheduling.WaitingRequest;
 import java.util.HashSet;
@@ -33,6 +34,8 @@
   }
 
   private static final String NOTHING_TRIED = "no target can run the statement";
+  private static final String WAIT_TOO_LONG = "the wait for a slot would be too long";
+  private static final String RETRY_HASH = "retry";
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
   // Covers the time from the arrival of a statement's first byte until this instance reads it.
@@ -41,6 +44,7 @@
   private final GatewayContext context;
   private final Route route;
   private final String organisation;
+  private final String statementId;
   private final boolean replicasAllowed;
   private final Position lastCommit;
   private final long receivedNanos;
@@ -50,11 +54,13 @@
   private final Set<String> triedTargets = new HashSet<>();
   private String lastFailureReason = NOTHING_TRIED;
   private int backoffs;
+  private long retryAfterMs = HoldPolicy.HOLD;
 
   TargetSearch(
       GatewayContext context,
       Route route,
       String organisation,
+      String statementId,
       boolean replicasAllowed,
       Position lastCommit,
       long receivedNanos,
@@ -62,6 +68,7 @@
     this.context = context;
     this.route = route;
     this.organisation = organisation;
+    this.statementId = statementId;
     this.replicasAllowed = replicasAllowed && route.consistency() != Consistency.PRIMARY;
     this.lastCommit = lastCommit;
     this.receivedNanos = receivedNanos;
@@ -144,7 +151,9 @@
         .pool(target)
         .acquire(
             waitingRequest(target),
-            new TargetPool.AcquireListener() {
+            TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs()),
+            Rendezvous.unitHash(statementId, RETRY_HASH),
+            new AcquireListener() {
               @Override
               public void acquired(TargetConnection connection) {
                 listener.found(connection, atLeast);
@@ -154,9 +163,33 @@
               public void refused(String reason) {
                 attemptFailed(reason);
               }
+
+              @Override
+              public void refusedAtOnce(WaitRefusal refusal) {
+                targetRefused(target, refusal);
+              }
             });
   }
 
+  /** Tries another target; if there is none, the statement is refused without a further try. */
+  private void targetRefused(TargetState target, WaitRefusal refusal) {
+    context
+        .requestLog()
+        .logDecision(
+            statementId,
+            "decision=refused target={} predicted_wait_ms={} waiting={} window={} retry_ms={}",
+            target.entry().id(),
+            refusal.predictedWaitMs(),
+            refusal.waiting(),
+            refusal.window(),
+            refusal.retryAfterMs());
+    retryAfterMs =
+        retryAfterMs == HoldPolicy.HOLD
+            ? refusal.retryAfterMs()
+            : Math.min(retryAfterMs, refusal.retryAfterMs());
+    attemptFailed(WAIT_TOO_LONG);
+  }
+
   private WaitingRequest waitingRequest(TargetState target) {
     return new WaitingRequest(
         organisation,
@@ -186,6 +219,10 @@
 
   /** Tries all targets again after a backoff, or ends the search if that is hopeless. */
   private void backOff() {
+    if (retryAfterMs != HoldPolicy.HOLD) {
+      listener.exhausted(WAIT_TOO_LONG + "; retry in " + retryAfterMs + " ms");
+      return;
+    }
     long nowNanos = context.loop().nowNanos();
     GroupState group = context.directory().group(route.group());
     long refuseAfterMs =
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -20,17 +20,23 @@
   private final ConnectionWaiters waiters;
   private final ConnectionDemand demand;
   private final StatementWindow window;
+  private final PredictedWaits waits;
   private final Set<TargetConnection> places = new HashSet<>();
   private final ArrayDeque<TargetConnection> gated = new ArrayDeque<>();
   private boolean serving;
   private boolean serveAgain;
 
   WindowedDispatch(
-      TargetPool pool, ConnectionWaiters waiters, ConnectionDemand demand, StatementWindow window) {
+      TargetPool pool,
+      ConnectionWaiters waiters,
+      ConnectionDemand demand,
+      StatementWindow window,
+      PredictedWaits waits) {
     this.pool = pool;
     this.waiters = waiters;
     this.demand = demand;
     this.window = window;
+    this.waits = waits;
   }
 
   StatementWindow window() {
@@ -58,6 +64,11 @@
     return false;
   }
 
+  /** Returns whether a statement with a connection could be sent now. */
+  boolean hasRoom() {
+    return gated.isEmpty() && window.hasRoom();
+  }
+
   /** Takes a place, even if the window has no room. */
   void takePlace(TargetConnection connection) {
     if (places.add(connection)) {
@@ -141,6 +152,7 @@
     if (waiter.forStatement()) {
       pool.held().onReused(connection);
     }
+    waits.onServed(waiter);
     waiter.listener().acquired(connection);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -44,7 +44,9 @@
     this.statement = statement;
     this.onOutcome = onOutcome;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
-    search = new TargetSearch(context, route, organisation, false, null, receivedNanos, this);
+    search =
+        new TargetSearch(
+            context, route, organisation, statement.id(), false, null, receivedNanos, this);
   }
 
   void start() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -30,6 +30,21 @@
           .classicUpperBounds(.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10)
           .classicOnly()
           .register(registry);
+  private final Histogram waitSeconds =
+      Histogram.builder()
+          .name("hickorydrift_wait_seconds")
+          .help("Time that statements waited at the home for a slot and a connection, in seconds")
+          .labelNames("priority")
+          .classicUpperBounds(.001, .005, .01, .02, .05, .1, .2, .5, 1)
+          .classicOnly()
+          .register(registry);
+  private final Histogram predictionErrorSeconds =
+      Histogram.builder()
+          .name("hickorydrift_wait_prediction_error_seconds")
+          .help("Predicted wait of a statement less its actual wait, in seconds")
+          .classicUpperBounds(-.5, -.2, -.1, -.05, -.02, -.005, .005, .02, .05, .1, .2, .5)
+          .classicOnly()
+          .register(registry);
   private final Counter reads =
       Counter.builder()
           .name("hickorydrift_reads_total")
@@ -66,6 +81,16 @@
     peerBytes.labelValues(type, crossing ? "other_domain" : "same_domain").inc(bytes);
   }
 
+  /** Records the wait of a statement of {@code priority} at the home. */
+  public void recordWait(int priority, long nanos) {
+    waitSeconds.labelValues(String.valueOf(priority)).observe(nanos / 1e9);
+  }
+
+  /** Records by how much the predicted wait of a statement exceeded the actual one. */
+  public void recordPredictionError(long nanos) {
+    predictionErrorSeconds.observe(nanos / 1e9);
+  }
+
   /** Records the latency of a completed request under its numeric result code. */
   public void recordRequest(String organisation, String operation, ResultCode code, long nanos) {
     recordRequest(organisation, operation, String.valueOf(code.number()), nanos);
