Merge the window and refusal of urgent groups; close connections of instances that serve no home

By locality, an instance that may not serve a group and does not observe its primary now closes connections that were idle for 5 s. Groups on the fleet-wide plan keep them as before.

--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.connection.EvictionPolicy;
 import io.hickorydrift.core.connection.OpeningPolicy;
 import io.hickorydrift.core.scheduling.ReplayedRequest.Result;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,7 @@
   private static final long TICK_NANOS = 50_000_000L;
   private static final long BACKOFF_NANOS = 15_000_000L;
   private static final int MAX_OPENING = 2;
+  private static final long TIMEOUT_NANOS = 1_500_000_000L;
 
   private static final class Connection {
     private final String organisation;
@@ -43,6 +45,9 @@
   private final ConnectionEvictor evictor = EvictionPolicy.LEAST_EXPECTED_COST.newEvictor();
   private final List<Connection> connections = new ArrayList<>();
   private final List<Connection> idle = new ArrayList<>();
+  private final ArrayDeque<Connection> gated = new ArrayDeque<>();
+  final StatementWindow window;
+  private final WaitPrediction prediction = new WaitPrediction();
 
   ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
     this.clock = clock;
@@ -50,38 +55,56 @@
     this.budget = budget;
     this.scheduled = scheduled;
     queue = scheduled ? new FairWaitQueue<>() : new PriorityWaitQueue<>();
+    window = new StatementWindow(target.slots);
     clock.after(TICK_NANOS, this::tick);
   }
 
   void start(ReplayedRequest request) {
     evictor.recordUse(request.organisation, clock.nowNanos());
-    for (int i = idle.size() - 1; i >= 0; i--) {
-      if (idle.get(i).organisation.equals(request.organisation)) {
-        begin(idle.remove(i), request);
-        return;
-      }
+    Connection own = scheduled ? null : idleOf(request.organisation);
+    if (own != null) {
+      idle.remove(own);
+      begin(own, request);
+      return;
     }
-    long deadlineNanos = request.arrivalNanos + MAX_WAIT_NANOS;
-    queue.add(
+    WaitingRequest waiting =
         new WaitingRequest(
             request.organisation,
             request.priority,
             clock.nowNanos(),
             request.arrivalNanos,
             request.objectiveNanos,
-            deadlineNanos,
-            request.serviceNanos[0]),
-        new Waiter(
-            new WaitingRequest(
-                request.organisation,
-                request.priority,
-                clock.nowNanos(),
-                request.arrivalNanos,
-                request.objectiveNanos,
-                deadlineNanos,
-                request.serviceNanos[0]),
-            request));
-    openForWaiting();
+            request.arrivalNanos + MAX_WAIT_NANOS,
+            request.serviceNanos[0]);
+    if (scheduled && !isFree(request.organisation) && refusesAtOnce(waiting)) {
+      end(request, Result.REFUSED);
+      return;
+    }
+    queue.add(waiting, new Waiter(waiting, request));
+    serveWaiting();
+  }
+
+  /** Returns whether the window has room and a connection of the organisation is free. */
+  private boolean isFree(String organisation) {
+    return window.hasRoom() && (idleOf(organisation) != null || connections.size() < budget);
+  }
+
+  private boolean refusesAtOnce(WaitingRequest waiting) {
+    int ahead = queue.countBefore(waiting, clock.nowNanos());
+    boolean queued = queue.count(w -> w.request.priority() <= waiting.priority()) > 0;
+    long waitNanos = prediction.waitNanos(ahead);
+    return ImmediateRefusal.retryAfterMs(
+            waiting, waitNanos, TIMEOUT_NANOS, queued, 0.5, clock.nowNanos())
+        != ImmediateRefusal.WAIT;
+  }
+
+  private Connection idleOf(String organisation) {
+    for (int i = idle.size() - 1; i >= 0; i--) {
+      if (idle.get(i).organisation.equals(organisation)) {
+        return idle.get(i);
+      }
+    }
+    return null;
   }
 
   private void begin(Connection connection, ReplayedRequest request) {
@@ -90,17 +113,118 @@
   }
 
   private void runNext(Connection connection) {
-    ReplayedRequest request = connection.holder;
     connection.running = true;
+    if (scheduled && !window.hasRoom()) {
+      gated.add(connection);
+      return;
+    }
+    send(connection);
+  }
+
+  private void send(Connection connection) {
+    ReplayedRequest request = connection.holder;
+    window.take();
+    long sentNanos = clock.nowNanos();
     target.run(
         request.serviceNanos[request.nextStatement],
         ran -> {
           connection.running = false;
+          if (ran) {
+            window.recordAnswer(clock.nowNanos() - sentNanos);
+          } else {
+            window.recordBusy();
+          }
+          window.giveBack();
           request.lastUsedNanos = clock.nowNanos();
           answered(connection, request, ran);
+          serveWaiting();
         });
   }
 
+  /** Gives free places to open transactions first, then to waiting requests in their order. */
+  private void serveWaiting() {
+    if (!scheduled) {
+      openForWaiting();
+      return;
+    }
+    while (!gated.isEmpty() && window.hasRoom()) {
+      send(gated.poll());
+    }
+    boolean lacking = false;
+    Set<String> unserved = new HashSet<>();
+    for (Waiter next : queue.items(clock.nowNanos())) {
+      String organisation = next.request.organisation();
+      if (!window.hasRoom()) {
+        break;
+      }
+      Connection own = idleOf(organisation);
+      if (own != null) {
+        queue.poll(waiter -> waiter == next, clock.nowNanos());
+        idle.remove(own);
+        prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
+        begin(own, next.replayed);
+      } else if (unserved.add(organisation) && openingCount() < MAX_OPENING) {
+        lacking |= !openFor(next);
+      }
+    }
+    if (lacking) {
+      endIdleTransactions();
+    }
+  }
+
+  private boolean openFor(Waiter waiter) {
+    OpeningPolicy.Decision decision = decide(waiter);
+    if (decision == OpeningPolicy.Decision.REPLACE && !evictFor(waiter)) {
+      return false;
+    }
+    if (decision != OpeningPolicy.Decision.WAIT) {
+      window.take();
+      open(waiter.request.organisation());
+    }
+    return true;
+  }
+
+  /** Closes an idle connection that nobody waits for, or one that has to make room. */
+  private boolean evictFor(Waiter waiter) {
+    List<Connection> candidates = new ArrayList<>();
+    for (Connection each : idle) {
+      if (firstOf(each.organisation) == null) {
+        candidates.add(each);
+      }
+    }
+    if (candidates.isEmpty()) {
+      Connection room = roomFor(waiter);
+      if (room != null) {
+        idle.remove(room);
+        connections.remove(room);
+      }
+      return room != null;
+    }
+    List<String> organisations = new ArrayList<>();
+    candidates.forEach(each -> organisations.add(each.organisation));
+    Connection victim = candidates.get(evictor.selectVictim(organisations, clock.nowNanos()));
+    idle.remove(victim);
+    connections.remove(victim);
+    return true;
+  }
+
+  private Connection roomFor(Waiter first) {
+    Set<String> organisations = new HashSet<>();
+    connections.forEach(each -> organisations.add(each.organisation));
+    queue.items(clock.nowNanos()).forEach(w -> organisations.add(w.request.organisation()));
+    for (Connection each : idle) {
+      if (FreedConnectionPolicy.makesRoom(
+          first.request,
+          firstOf(each.organisation).request,
+          (int) countOf(each.organisation),
+          budget / organisations.size(),
+          clock.nowNanos())) {
+        return each;
+      }
+    }
+    return null;
+  }
+
   private void answered(Connection connection, ReplayedRequest request, boolean ran) {
     if (!ran && request.nextStatement > 0) {
       clock.after(BACKOFF_NANOS, () -> runNext(connection));
@@ -135,33 +259,12 @@
 
   private void release(Connection connection) {
     connection.holder = null;
-    if (scheduled && openingCount() == 0 && makesRoom(connection)) {
-      connections.remove(connection);
-      openForWaiting();
-      return;
-    }
-    handOver(connection);
-  }
-
-  private boolean makesRoom(Connection connection) {
-    Waiter own = firstOf(connection.organisation);
-    for (Waiter first : queue.items(clock.nowNanos())) {
-      if (own == null || first == own) {
-        return false;
-      }
-      if (decide(first) == OpeningPolicy.Decision.REPLACE) {
-        Set<String> organisations = new HashSet<>();
-        connections.forEach(each -> organisations.add(each.organisation));
-        queue.items(clock.nowNanos()).forEach(w -> organisations.add(w.request.organisation()));
-        return FreedConnectionPolicy.makesRoom(
-            first.request,
-            own.request,
-            (int) countOf(connection.organisation),
-            budget / organisations.size(),
-            clock.nowNanos());
-      }
+    if (scheduled) {
+      idle.add(connection);
+      serveWaiting();
+    } else {
+      handOver(connection);
     }
-    return false;
   }
 
   private Waiter firstOf(String organisation) {
@@ -181,11 +284,12 @@
             waiter -> waiter.request.organisation().equals(connection.organisation),
             clock.nowNanos());
     if (next != null) {
+      prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
       begin(connection, next.replayed);
       return;
     }
     idle.add(connection);
-    openForWaiting();
+    serveWaiting();
   }
 
   private long openingCount() {
@@ -216,7 +320,6 @@
       }
       OpeningPolicy.Decision decision = decide(next);
       if (decision == OpeningPolicy.Decision.REPLACE && !evictOne()) {
-        endIdleTransactions();
         return;
       }
       if (decision != OpeningPolicy.Decision.WAIT) {
@@ -231,12 +334,16 @@
     target.run(
         OPEN_NANOS,
         opened -> {
+          if (scheduled) {
+            window.giveBack();
+          }
           if (opened) {
             connection.open = true;
             handOver(connection);
           } else {
             connections.remove(connection);
           }
+          serveWaiting();
         });
   }
 
@@ -251,9 +358,6 @@
   }
 
   private void endIdleTransactions() {
-    if (!scheduled) {
-      return;
-    }
     List<IdleTransactionLimits.Held<Connection>> held = new ArrayList<>();
     for (Connection each : connections) {
       if (each.holder != null && each.holder.isTransaction()) {
@@ -261,17 +365,18 @@
         held.add(new IdleTransactionLimits.Held<>(each.organisation, lastUsedNanos, each));
       }
     }
-    int lacking = queue.count(each -> decide(each) == OpeningPolicy.Decision.REPLACE);
-    IdleTransactionLimits.excess(held, budget, clock.nowNanos()).stream()
-        .limit(lacking)
-        .forEach(this::release);
+    List<Connection> excess = IdleTransactionLimits.excess(held, budget, clock.nowNanos());
+    if (!excess.isEmpty()) {
+      int lacking = queue.count(each -> decide(each) == OpeningPolicy.Decision.REPLACE);
+      excess.stream().limit(lacking).forEach(this::release);
+    }
   }
 
   private void tick() {
     for (Waiter late : queue.removeExpired(clock.nowNanos())) {
       end(late.replayed, Result.REFUSED);
     }
-    openForWaiting();
+    serveWaiting();
     clock.after(TICK_NANOS, this::tick);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
@@ -129,8 +129,7 @@
     TargetState replica = replicas.get(queue.nextReplica++ % replicas.size());
     String organisation = queue.pending.get(0).organisation;
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
-    TargetPool.AcquireListener request =
-        reportRequest(replica, deadlineNanos, () -> pollLater(group, queue));
+    AcquireListener request = reportRequest(replica, deadlineNanos, () -> pollLater(group, queue));
     TargetPool pool = pools.poolForReports(replica);
     // The one connection to an evacuated target serves all organisations.
     TargetConnection idle = replica.isEvacuated() ? pool.pollIdle() : null;
@@ -142,9 +141,8 @@
   }
 
   /** Requests the report of {@code replica} and records it; calls {@code onDone} in any case. */
-  private TargetPool.AcquireListener reportRequest(
-      TargetState replica, long deadlineNanos, Runnable onDone) {
-    return new TargetPool.AcquireListener() {
+  private AcquireListener reportRequest(TargetState replica, long deadlineNanos, Runnable onDone) {
+    return new AcquireListener() {
       @Override
       public void acquired(TargetConnection connection) {
         pools.requestReport(
@@ -170,7 +168,7 @@
     TargetState replica = round.replicas.get(round.next++);
     round.outstanding++;
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
-    TargetPool.AcquireListener request =
+    AcquireListener request =
         reportRequest(replica, deadlineNanos, () -> reportArrived(group, queue, round));
     String organisation = queue.pending.get(0).organisation;
     // A connection of the organisation may have to be opened first, which takes as long as several
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -216,6 +216,14 @@
     return isDirect(group) || plans.fleetWide().rankedInstances(group).contains(id);
   }
 
+  /**
+   * Returns whether this instance keeps idle connections to the targets of {@code group}: by
+   * locality, only those that may serve the group or observe its primary do.
+   */
+  boolean keepsConnections(String group) {
+    return isDirect(group) || !plans.isByLocality(group) || needsStatus(group, self);
+  }
+
   /** Returns whether this instance observes the primary of {@code group}. */
   boolean isObserver(String group) {
     return isObserver(group, self);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -91,7 +91,7 @@
     }
     Position lastCommit = session.lastCommit(route.group());
     OperationScope scope = new OperationScope(route, organisation, allowed);
-    search = new TargetSearch(context, scope, readOnly, lastCommit, receivedNanos, this);
+    search = new TargetSearch(context, scope, next.id(), readOnly, lastCommit, receivedNanos, this);
     search.tryNext();
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -62,7 +62,13 @@
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
     search =
         new TargetSearch(
-            context, scope, true, session.lastCommit(route.group()), receivedNanos, this);
+            context,
+            scope,
+            statement.id(),
+            true,
+            session.lastCommit(route.group()),
+            receivedNanos,
+            this);
   }
 
   void start() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -21,10 +21,16 @@
 final class TargetPools {
   private static final int REPORT_CONNECTIONS = 1;
 
+  private static final WaitObserver NO_OBSERVER = (priority, waitedNanos, predictedNanos) -> {};
+  // An instance that ran a group's statements while no home was reachable keeps its connections
+  // for the next such moment, but not for good: those of a whole fleet exceed a target's limit.
+  private static final long MAX_IDLE_NANOS = 5_000_000_000L;
+
   private final EventLoop loop;
   private final TargetCodec codec;
   private final HomeRouter homes;
   private final Declarations declarations;
+  private WaitObserver observer = NO_OBSERVER;
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
   // Pools of evacuated targets, which run no statements.
   private final Map<TargetState, TargetPool> reportPools = new HashMap<>();
@@ -36,6 +42,11 @@
     this.declarations = declarations;
   }
 
+  /** Sets the observer of the waits of statements. */
+  void observeWaits(WaitObserver newObserver) {
+    observer = newObserver;
+  }
+
   TargetPool poolFor(TargetState target) {
     return pools.computeIfAbsent(
         target,
@@ -45,7 +56,8 @@
                 codec,
                 target,
                 () -> budget(target),
-                () -> declarations.isUrgent(target.entry().group())));
+                () -> declarations.isUrgent(target.entry().group()),
+                (priority, waited, predicted) -> observer.served(priority, waited, predicted)));
   }
 
   /**
@@ -56,7 +68,9 @@
     return target.isEvacuated()
         ? reportPools.computeIfAbsent(
             target,
-            key -> new TargetPool(loop, codec, target, () -> REPORT_CONNECTIONS, () -> false))
+            key ->
+                new TargetPool(
+                    loop, codec, target, () -> REPORT_CONNECTIONS, () -> false, NO_OBSERVER))
         : poolFor(target);
   }
 
@@ -109,6 +123,9 @@
     for (TargetPool pool : List.copyOf(pools.values())) {
       drainIfLeaving(pool);
       pool.tick(nowNanos);
+      if (!homes.keepsConnections(pool.target().entry().group())) {
+        pool.closeIdleSince(nowNanos - MAX_IDLE_NANOS);
+      }
     }
     for (TargetPool pool : List.copyOf(reportPools.values())) {
       if (pool.target().isEvacuated()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -43,7 +43,7 @@
     this.statement = statement;
     this.onOutcome = onOutcome;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
-    search = new TargetSearch(context, scope, false, null, receivedNanos, this);
+    search = new TargetSearch(context, scope, statement.id(), false, null, receivedNanos, this);
   }
 
   void start() {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
@@ -4,6 +4,7 @@
 
 import io.hickorydrift.core.declaration.Consistency;
 import io.hickorydrift.core.declaration.Route;
+import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
@@ -87,7 +88,18 @@
     Statement statement = new Statement("s1", StatementKind.READ, "READ a", "", "a", false);
     link.forward(
         new PeerMessage.Forward(
-            0, 0, false, "red", route, statement, null, Map.of(), null, true, 0),
+            0,
+            0,
+            false,
+            "red",
+            route,
+            statement,
+            null,
+            Map.of(),
+            null,
+            true,
+            0,
+            AllowedRegions.ALL),
         2_000,
         atOnce,
         new OutboundPeerLink.ForwardListener() {
