Keep proofs for keys young, so that keys outlast 3 s without the store

Cause: a proof dates from its request. The relay that provides proofs watched the store with a wait of 0.9 s, so that its proof was up to 1.8 s old, and a heartbeat later at the others up to 2.2 s. A store that names an older era for 3 s gives no proof, and keys ended at 4.6 s.

Instances that provide proofs now ask every 0.75 s, without waiting, whether the declaration has changed (ProofPoll), and watch with long waits. A poll without an answer counts as a failed watch, and one that shows a later position reports a watch that stays behind. An instance whose proof is older than 3 s pings its relays every 0.1 s. The validity of 4.6 s and the bound of 5,000 ms are unchanged.

Ruled out: a longer validity (the bound); a proof dated from the answer of a watch (an early answer may be delayed); polls every 0.3 s beside the short watch (calmFleetMakesFewCalls: 7.5 calls a second, at most 5.25).

Run: StoreEraHeaderTest without the polls: 5 of 15 red, the listed case and 4 of 9 new ages of the proof. With them: StoreEraHeaderTest 15, StoreEraTest 20, StoreEraPropertyTest 1, GatewayRelayTest 6 and GatewayRelayFaultsTest 4 green. Across failure domains a proof takes one heartbeat more (3.0 s remain); no test covers that.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -84,7 +84,7 @@
     this.relay = relay;
     this.era = era;
     subscription = new RelaySubscription(loop, declarations);
-    watchWait = new WatchWait(loop, declarations, peers);
+    watchWait = new WatchWait(loop, declarations);
     era.addListener(this::onNewEra);
     this.self = self;
     snapshots =
@@ -338,7 +338,15 @@
     }
   }
 
-  /** Replaces a long watch by a short one when peers no longer provide proofs. */
+  /** Handles a poll that had no answer: the watch, which waits longer, will not have one either. */
+  void onPollFailed(Status status) {
+    if (isWatching() && !paused) {
+      watchNumber++;
+      onFailure(status, this::watch);
+    }
+  }
+
+  /** Replaces a long watch by a short one when there are no proofs any more. */
   private void replaceLongWatch() {
     if (isWatching() && isOfCurrentEra() && !paused && watchWait.isTooLong()) {
       watch();
