Keep serving a target after an error in a callback

Cause: WindowedDispatch marks that it is serving, and an error thrown by a listener left that mark set, so that nothing that waited for the target was served again. Found by reading; no test brings it about yet.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -112,11 +112,15 @@
       return;
     }
     serving = true;
-    while (serveAgain) {
-      serveAgain = false;
-      serveOnce();
+    // An error in a callback must not end the serving of this target for good.
+    try {
+      while (serveAgain) {
+        serveAgain = false;
+        serveOnce();
+      }
+    } finally {
+      serving = false;
     }
-    serving = false;
   }
 
   private void serveOnce() {
