Revert the polls for proofs

Both relays of its domain had lost power; it watched the store itself, its call got no answer at 33.06 s, and it was up to date again only at 37.3 s, through a relay that had started. Ruled out so far: nothing within that change; which of its parts delays the next watch is not traced.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -150,11 +150,6 @@
     return key.substring(KEY_PREFIX.length());
   }
 
-  /** Returns whether {@code key} is that of the own entry, and the entry has been written. */
-  boolean isOwnRegistration(String key) {
-    return registered && memberId(key).equals(instance);
-  }
-
   /** Returns the keys of the entries of all members. */
   List<String> keys() {
     return members.keySet().stream().map(name -> KEY_PREFIX + name).toList();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -66,7 +66,6 @@
   private final TargetPools pools;
   private final Directory directory;
   private final StoreSync sync;
-  private final ProofPoll proofs;
   private final RelayService relay;
   private final PrimaryProber prober;
   private final Peers peers;
@@ -143,7 +142,6 @@
     relay = new RelayService(exchange, declarations, contents::items);
     sync =
         new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
-    proofs = new ProofPoll(loop, store, platform.declarationKey(), sync, declarations, peers);
     era.addListener(source -> fleet.onNewEra(era.current()));
     era.addListener(source -> promotions.onNewEra());
     confirmations =
@@ -201,7 +199,6 @@
     peers.start(limits, new ForwardedStatementService(context), sync, relay);
     limits.start();
     sync.start();
-    proofs.start();
     fleet.join();
     loop.every(TICK_MS, this::tick);
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -158,16 +158,6 @@
     return relays;
   }
 
-  /** Pings the relays that this instance takes proofs from, without waiting for the heartbeat. */
-  void requestProofs() {
-    for (String relayId : linkedRelays()) {
-      OutboundPeerLink link = outboundLinks.get(relayId);
-      if (link != null) {
-        link.requestStatus();
-      }
-    }
-  }
-
   /** Returns what is known of a candidate for the relay. */
   RelaySelection.Status relayStatus(String candidate) {
     OutboundPeerLink link = outboundLinks.get(candidate);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -31,9 +31,6 @@
   private static final long ENTRY_RECOVERY_NANOS = 2_500_000_000L;
   // A member may use its part of a rate until its last proof expires, which is shorter.
   private static final long MEMBER_RECOVERY_MS = 5_000;
-  // As a store returns from a copy, it ends the leases that lapsed while it was away; a snapshot
-  // that is read at once may still show their entries.
-  private static final long LAPSE_AFTER_RESTORE_NANOS = 1_000_000_000L;
 
   private final EventLoop loop;
   private final PlatformAdapter platform;
@@ -47,8 +44,6 @@
   private Item unreadableDeclaration;
   private long lastFailureNanos;
   private boolean loaded;
-  private boolean everRestored;
-  private long restoredNanos;
   private long era;
 
   /** Creates contents; {@code reachable} tests whether the link to a member is up. */
@@ -126,10 +121,6 @@
     final boolean restored = loaded && snapshotEra > era;
     loaded = true;
     era = snapshotEra;
-    if (restored) {
-      everRestored = true;
-      restoredNanos = loop.nowNanos();
-    }
     Set<String> keys = new HashSet<>();
     for (Item item : snapshot) {
       if (evacuations.ownsKey(item.key())) {
@@ -182,7 +173,8 @@
       } else if (isEntry(item)) {
         keep(item);
         if (fleet.ownsKey(item.key())) {
-          applyMember(item, position);
+          removals.cancel(item.key());
+          fleet.apply(item, position);
         } else if (evacuations.ownsKey(item.key())) {
           evacuations.apply(item, position, knownDomains());
         } else {
@@ -200,19 +192,6 @@
     return domains;
   }
 
-  private void applyMember(Item item, StorePosition position) {
-    boolean lapsed =
-        item.value() == null
-            && everRestored
-            && loop.nowNanos() - restoredNanos < LAPSE_AFTER_RESTORE_NANOS;
-    if (lapsed && !fleet.isOwnRegistration(item.key())) {
-      removeMemberLater(item.key());
-    } else {
-      removals.cancel(item.key());
-      fleet.apply(item, position);
-    }
-  }
-
   private void keep(Item item) {
     if (item.value() == null) {
       items.remove(item.key());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -84,7 +84,7 @@
     this.relay = relay;
     this.era = era;
     subscription = new RelaySubscription(loop, declarations);
-    watchWait = new WatchWait(loop, declarations);
+    watchWait = new WatchWait(loop, declarations, peers);
     era.addListener(this::onNewEra);
     this.self = self;
     snapshots =
@@ -338,15 +338,7 @@
     }
   }
 
-  /** Handles a poll that had no answer: the watch, which waits longer, will not have one either. */
-  void onPollFailed(Status status) {
-    if (isWatching() && !paused) {
-      watchNumber++;
-      onFailure(status, this::watch);
-    }
-  }
-
-  /** Replaces a long watch by a short one when there are no proofs any more. */
+  /** Replaces a long watch by a short one when peers no longer provide proofs. */
   private void replaceLongWatch() {
     if (isWatching() && isOfCurrentEra() && !paused && watchWait.isTooLong()) {
       watch();
