Deliver refusals to callers that are still sending their body

A refusal that comes before the body has been read (too large, stopping, no valid key, unknown route) completed the request at once. The HTTP server then closed the connection with unread bytes, the kernel answered the caller's next bytes with a reset, and a caller that was still sending lost the answer. BadInputTest.oversizedBodyIsRefused failed this way once.

RequestBody now receives the body in one loop. The bound of the body's size is applied in the same loop, because the server's own reader ends a chunked body that is too large without reading on. The request no longer counts as in flight once its answer is written; a graceful stop waits for the discarding as well, within its deadline.

Ruled out: only waiting for a caller's end of stream, since callers keep their connections open.

Not tested: a refusal of a stopping instance, which takes the same path.

--- a/proxy/src/main/java/io/hickorydrift/proxy/Instance.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/Instance.java
@@ -208,8 +208,8 @@
 
   /**
    * Shuts down gracefully: reports not ready, but accepts requests until the load balancer has had
-   * time to react, then waits for the requests in flight. Returns the number of requests that were
-   * aborted at the deadline.
+   * time to react, then waits for the requests in flight and for refused callers that are still
+   * sending. Returns the number of requests that were aborted at the deadline.
    */
   public long stopGracefully() throws InterruptedException {
     stopping = true;
@@ -217,7 +217,9 @@
     Thread.sleep(settings.stopNoticeMs());
     callerHandler.stopAccepting();
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.stopDeadlineMs());
-    while ((callerHandler.requestsInFlight() > 0 || control.hasForwardedWork())
+    while ((callerHandler.requestsInFlight() > 0
+            || callerHandler.isDiscardingBodies()
+            || control.hasForwardedWork())
         && endNanos - System.nanoTime() > 0) {
       Thread.sleep(STOP_POLL_INTERVAL_MS);
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/intake/CallerHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/CallerHandler.java
@@ -51,6 +51,7 @@
   private final SessionEncoder encoder;
   private final Metrics metrics;
   private final AtomicLong requestsInFlight = new AtomicLong();
+  private final AtomicLong bodiesInDiscard = new AtomicLong();
   private final AtomicBoolean stopping = new AtomicBoolean();
 
   /** Creates a handler for the callers of {@code instance}. */
@@ -76,6 +77,14 @@
     return requestsInFlight.get();
   }
 
+  /**
+   * Returns whether refused callers may still be sending. They may lose their answers if their
+   * connections are closed now.
+   */
+  public boolean isDiscardingBodies() {
+    return bodiesInDiscard.get() > 0;
+  }
+
   /** Refuses all requests that arrive after this call. */
   public void stopAccepting() {
     stopping.set(true);
@@ -85,14 +94,16 @@
   public boolean handle(Request request, Response response, Callback callback) {
     long arrivedNanos = System.nanoTime();
     requestsInFlight.incrementAndGet();
-    Exchange exchange = new Exchange(response, countedCallback(callback), arrivedNanos);
+    RequestBody requestBody = new RequestBody(request, MAX_BODY_BYTES);
+    Exchange exchange = new Exchange(response, requestBody, callback, arrivedNanos);
     try {
       if (stopping.get()) {
         throw new ProxyException(ResultCode.STOPPING, null, STOPPING_RETRY_AFTER_MS);
       }
       AuthorizedRequest authorized = authorizer.authorize(request);
       exchange.authorized = authorized;
-      HttpMessages.readBody(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
+      requestBody
+          .read(BODY_TIMEOUT_MS)
           .whenComplete(
               (body, failure) -> {
                 if (failure != null) {
@@ -107,22 +118,6 @@
     return true;
   }
 
-  private Callback countedCallback(Callback callback) {
-    return new Callback.Nested(callback) {
-      @Override
-      public void succeeded() {
-        requestsInFlight.decrementAndGet();
-        super.succeeded();
-      }
-
-      @Override
-      public void failed(Throwable failure) {
-        requestsInFlight.decrementAndGet();
-        super.failed(failure);
-      }
-    };
-  }
-
   private void rateLimitAndRoute(AuthorizedRequest authorized, byte[] body, Exchange exchange) {
     ForwardRequest request;
     try {
@@ -164,19 +159,28 @@
 
   private final class Exchange {
     private final Response response;
+    private final RequestBody requestBody;
     private final Callback callback;
     private final long arrivedNanos;
     private AuthorizedRequest authorized;
 
-    private Exchange(Response response, Callback callback, long arrivedNanos) {
+    private Exchange(
+        Response response, RequestBody requestBody, Callback callback, long arrivedNanos) {
       this.response = response;
+      this.requestBody = requestBody;
       this.callback = callback;
       this.arrivedNanos = arrivedNanos;
     }
 
     private void refuse(ProxyException refusal) {
       recordRequest(refusal.code());
-      HttpMessages.writeRefusal(response, refusal, callback);
+      bodiesInDiscard.incrementAndGet();
+      HttpMessages.refuse(
+          response,
+          refusal,
+          requestBody,
+          requestsInFlight::decrementAndGet,
+          Callback.from(callback, bodiesInDiscard::decrementAndGet));
     }
 
     private void respond(ForwardAnswer answer) {
@@ -193,7 +197,10 @@
       String token = encoder.encode(session);
       response.getHeaders().put(SESSION_HEADER, token);
       HttpMessages.writeJson(
-          response, code.httpStatus(), callerAnswer(answer, code, token), callback);
+          response,
+          code.httpStatus(),
+          callerAnswer(answer, code, token),
+          Callback.from(callback, requestsInFlight::decrementAndGet));
     }
 
     private CallerAnswer callerAnswer(ForwardAnswer answer, ResultCode code, String token) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/intake/HttpMessages.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/HttpMessages.java
@@ -4,19 +4,16 @@
 import io.hickorydrift.core.error.ResultCode;
 import io.hickorydrift.core.message.CallerAnswer;
 import io.hickorydrift.proxy.runtime.Json;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable;
 
 /**
- * Reads request bodies and writes responses.
+ * Reads headers of requests and writes responses.
  *
  * <p>Thread safety: stateless.
  */
@@ -26,48 +23,13 @@
 
   private HttpMessages() {}
 
-  /** Reads the whole body, of at most {@code maxBytes} within {@code timeoutMs}. */
-  static CompletableFuture<byte[]> readBody(Request request, int maxBytes, long timeoutMs) {
-    long declared = request.getLength();
-    if (declared > maxBytes) {
-      return CompletableFuture.failedFuture(new ProxyException(ResultCode.REQUEST_TOO_LARGE, null));
-    }
-    BodyPromise body = new BodyPromise();
-    Content.Source.asByteArrayAsync(request, maxBytes, body);
-    return body.result.orTimeout(timeoutMs, TimeUnit.MILLISECONDS);
-  }
-
-  private static final class BodyPromise implements Promise.Invocable<byte[]> {
-    private final CompletableFuture<byte[]> result = new CompletableFuture<>();
-
-    @Override
-    public void succeeded(byte[] body) {
-      result.complete(body);
-    }
-
-    @Override
-    public void failed(Throwable failure) {
-      result.completeExceptionally(failure);
-    }
-
-    @Override
-    public InvocationType getInvocationType() {
-      return InvocationType.NON_BLOCKING;
-    }
-  }
-
   /** Converts the failure to read a body into the refusal that is sent. */
   static ProxyException toProxyException(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof ProxyException refusal) {
       return refusal;
     }
-    if (cause instanceof TimeoutException) {
-      return new ProxyException(ResultCode.REQUEST_INCOMPLETE, null);
-    }
-    boolean tooLarge = cause instanceof IllegalStateException;
-    return new ProxyException(
-        tooLarge ? ResultCode.REQUEST_TOO_LARGE : ResultCode.REQUEST_INCOMPLETE, null);
+    return new ProxyException(ResultCode.REQUEST_INCOMPLETE, null);
   }
 
   /** Returns the request's bearer token, or null if there is none. */
@@ -91,8 +53,33 @@
     Content.Sink.write(response, true, body, callback);
   }
 
-  /** Writes the error response for a refusal. */
-  static void writeRefusal(Response response, ProxyException refusal, Callback callback) {
+  /**
+   * Writes the error response for a refusal at once, then discards what has not been received of
+   * the body and completes the request.
+   *
+   * @param onWritten called when the response has been written or cannot be written
+   */
+  static void refuse(
+      Response response,
+      ProxyException refusal,
+      RequestBody body,
+      Runnable onWritten,
+      Callback callback) {
+    Callback written =
+        Callback.from(
+            Invocable.InvocationType.NON_BLOCKING,
+            () -> {
+              onWritten.run();
+              body.discard(callback::succeeded);
+            },
+            failure -> {
+              onWritten.run();
+              callback.failed(failure);
+            });
+    writeRefusal(response, refusal, written);
+  }
+
+  private static void writeRefusal(Response response, ProxyException refusal, Callback callback) {
     ResultCode code = refusal.code();
     setRetryAfter(response, refusal.retryAfterMs());
     Long retryAfterMs = refusal.retryAfterMs() > 0 ? refusal.retryAfterMs() : null;
--- a/proxy/src/main/java/io/hickorydrift/proxy/intake/OperatorHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/intake/OperatorHandler.java
@@ -89,6 +89,7 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     String path = Request.getPathInContext(request);
+    RequestBody body = new RequestBody(request, MAX_BODY_BYTES);
     try {
       switch (path) {
         case "/health":
@@ -109,10 +110,10 @@
           HttpMessages.writeJson(response, HttpStatus.OK_200, status.get(), callback);
           return true;
         default:
-          handleTeam(request, response, path, callback);
+          handleTeam(request, body, response, path, callback);
       }
     } catch (ProxyException refusal) {
-      HttpMessages.writeRefusal(response, refusal, callback);
+      refuse(response, refusal, body, callback);
     }
     return true;
   }
@@ -127,7 +128,13 @@
         callback);
   }
 
-  private void handleTeam(Request request, Response response, String path, Callback callback) {
+  private static void refuse(
+      Response response, ProxyException refusal, RequestBody body, Callback callback) {
+    HttpMessages.refuse(response, refusal, body, () -> {}, callback);
+  }
+
+  private void handleTeam(
+      Request request, RequestBody body, Response response, String path, Callback callback) {
     if (!path.startsWith(TEAMS_PATH)) {
       throw new ProxyException(ResultCode.UNKNOWN_ROUTE, null);
     }
@@ -139,13 +146,12 @@
           response, HttpStatus.OK_200, new Subtree(team.revision(), team.sections()), callback);
       return;
     }
-    HttpMessages.readBody(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
-        .thenCompose(body -> submitChange(name, body))
+    body.read(BODY_TIMEOUT_MS)
+        .thenCompose(bytes -> submitChange(name, bytes))
         .whenComplete(
             (entry, failure) -> {
               if (failure != null) {
-                HttpMessages.writeRefusal(
-                    response, HttpMessages.toProxyException(failure), callback);
+                refuse(response, HttpMessages.toProxyException(failure), body, callback);
               } else {
                 HttpMessages.writeJson(response, HttpStatus.OK_200, new Accepted(entry), callback);
               }
--- a/proxy/src/test/java/io/hickorydrift/proxy/intake/BadInputTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/intake/BadInputTest.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.proxy.intake;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.hickorydrift.core.message.CallerAnswer;
 import io.hickorydrift.proxy.bench.CallerClient;
@@ -9,6 +10,8 @@
 import io.hickorydrift.proxy.runtime.Json;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -26,6 +29,8 @@
  * not stay counted as in flight.
  */
 class BadInputTest {
+  private static final int CHUNK_BYTES = 100_000;
+  private static final byte[] CHUNK = chunk();
   private static final HttpClient HTTP = CallerClient.newHttpClient();
   private static LocalFleet fleet;
   private static String address;
@@ -106,6 +111,77 @@
     assertThat(post("read-0", FleetPlan.key(0), null, body).code()).isEqualTo(101);
   }
 
+  /**
+   * Guards against answers lost to a reset: a connection that is closed while the caller is still
+   * sending is reset, and the caller cannot read the answer any more.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "read-0, local-key-0, Content-Length: 2000000, 101",
+    "read-0, local-key-0, Transfer-Encoding: chunked, 101",
+    "read-0, wrong, Content-Length: 2000000, 200",
+    "nothing, local-key-0, Content-Length: 2000000, 102"
+  })
+  void callerThatSendsItsWholeBodyReadsTheRefusal(
+      String route, String key, String framing, int code) throws Exception {
+    boolean chunked = framing.startsWith("Transfer-Encoding");
+    try (Socket socket = connect()) {
+      socket.setSoTimeout(20_000);
+      OutputStream out = socket.getOutputStream();
+      out.write(ascii(head(route, key, framing)));
+      if (chunked) {
+        // The size of a chunked body is known only after the maximum has been received.
+        for (int i = 0; i < 11; i++) {
+          out.write(CHUNK);
+        }
+      }
+      fleet.await("answer", () -> available(socket) > 0);
+      if (chunked) {
+        for (int i = 0; i < 9; i++) {
+          out.write(CHUNK);
+        }
+        out.write(ascii("0\r\n\r\n"));
+      } else {
+        for (int i = 0; i < 20; i++) {
+          out.write(new byte[100_000]);
+        }
+      }
+      InputStream in = socket.getInputStream();
+      String answer = new String(in.readNBytes(in.available()), StandardCharsets.US_ASCII);
+      assertThat(answer).contains("\"code\":" + code + ",");
+    }
+  }
+
+  /** Guards against refused callers that occupy a connection by sending without end. */
+  @Test
+  void bodyBeyondTheDiscardBoundEndsTheConnection() throws Exception {
+    try (Socket socket = connect()) {
+      OutputStream out = socket.getOutputStream();
+      out.write(ascii(requestHead(1_000_000_000)));
+      fleet.await("answer", () -> available(socket) > 0);
+      byte[] part = new byte[100_000];
+      assertThatThrownBy(
+              () -> {
+                for (int i = 0; i < 10_000; i++) {
+                  out.write(part);
+                }
+              })
+          .isInstanceOf(IOException.class);
+    }
+  }
+
+  /** Guards against refused callers that occupy a connection by sending nothing. */
+  @Test
+  void refusedCallerThatStopsSendingIsDisconnected() throws Exception {
+    try (Socket socket = connect()) {
+      socket.setSoTimeout(20_000);
+      socket.getOutputStream().write(ascii(requestHead(2_000_000)));
+      String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertThat(answer).contains("\"code\":101,");
+    }
+    assertThat(post("read-0", FleetPlan.key(0), null, "{\"sql\":\"SELECT 1\"}").code()).isZero();
+  }
+
   @Test
   void truncatedBodyLeavesNoRequestInFlight() throws Exception {
     for (int i = 0; i < 50; i++) {
@@ -134,10 +210,29 @@
   }
 
   private static String requestHead(int contentLength) {
-    return "POST /v1/read-0 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer local-key-0\r\n"
-        + "Content-Length: "
-        + contentLength
-        + "\r\n\r\n";
+    return head("read-0", "local-key-0", "Content-Length: " + contentLength);
+  }
+
+  private static String head(String route, String key, String framing) {
+    return String.format(
+        "POST /v1/%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
+        route, key, framing);
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static byte[] chunk() {
+    return ascii(Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n");
+  }
+
+  private static int available(Socket socket) {
+    try {
+      return socket.getInputStream().available();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private static double gauge(String name) {
