Pass over targets whose statements fail

Reads avoided a target for 60 to 300 ms after a bad sign and then returned in full, so that a target that left 40% of its statements unanswered, or failed them, got its reads again and again.

TargetHealth records the outcomes of real statements of 2 s. From a failure share of 0.2 on, OutlierEjection passes the target over for reads, at most half of the targets of a group. Reads probe it, and it returns in steps. Active for groups with a route of priority 0 and in fleets of several regions; elsewhere nothing is recorded and the choice is the same as before.

Ruled out: a return when the 2 s are empty. At a stand-in target that lost every second answer, the hung statements made the target so costly that it got no reads; it then returned without any evidence. It now needs four outcomes. Ruled out: probes that wait for a connection or a place in the window, because hung statements hold them.

Runs: TargetHealthTest, TargetHealthReplayTest, ReadPlacementTest: passed (core). With a threshold of 2, that is, without effect, 4 of the 6 replay tests fail. verify without tests for core and proxy: passed.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -4,8 +4,11 @@
 import io.hickorydrift.core.placement.Proximity;
 import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.placement.Rendezvous;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Chooses the target of a read that may run on a replica, by estimated cost. The unit is the time
@@ -13,7 +16,7 @@
  * another region takes longer than most queues; a read leaves its region only if no target there
  * would complete it sooner.
  *
- * <p>Thread safety: immutable.
+ * <p>Thread safety: confined to the thread of the targets' states.
  */
 public final class ReadPlacement {
   // A replica not known to have applied the position may have applied it by now.
@@ -36,6 +39,17 @@
   // spread over all of them, the organisations would need more connections than there are.
   private static final double OTHER_REPLICA_COST = 0.7;
 
+  /** What the choice depends on of the connections for a read's organisation. */
+  public interface Connections {
+    /** Returns whether there is an idle connection to {@code target}. */
+    boolean hasIdle(TargetState target);
+
+    /** Returns whether the read would not have to wait for others at {@code target}. */
+    default boolean isFree(TargetState target) {
+      return hasIdle(target);
+    }
+  }
+
   private final String ownDomain;
   private final Regions regions;
 
@@ -48,8 +62,8 @@
   /**
    * Returns the target with the lowest cost, that is, the least expected wait, or null if there is
    * none. Skips draining and ruled out targets, those in {@code tried}, and those that {@code
-   * mayRun} rejects. The target itself checks that it has applied {@code atLeast}; {@code
-   * hasIdleConnection} tests whether a target has an idle connection of {@code organisation}.
+   * mayRun} rejects. A target whose statements fail gets fewer reads ({@link TargetHealth}). The
+   * target itself checks that it has applied {@code atLeast}.
    */
   public TargetState choose(
       GroupState group,
@@ -57,21 +71,62 @@
       Position atLeast,
       Set<String> tried,
       Predicate<TargetState> mayRun,
-      Predicate<TargetState> hasIdleConnection,
+      Connections connections,
       long nowNanos) {
+    OutlierEjection.update(group, nowNanos);
+    List<TargetState> able = new ArrayList<>();
+    for (TargetState target : group.targets()) {
+      boolean untried = !tried.contains(target.entry().id());
+      if (untried && target.acceptsNewWork() && mayRun.test(target)) {
+        able.add(target);
+      }
+    }
+    List<TargetState> candidates = new ArrayList<>(able);
+    candidates.removeIf(target -> target.health().isPassedOver());
+    if (candidates.isEmpty()) {
+      candidates = able;
+    } else if (tried.isEmpty()) {
+      // A read that has already failed at a target is not risked at a second one that may fail.
+      TargetState probed = probe(able, connections, nowNanos);
+      if (probed != null) {
+        return probed;
+      }
+    }
     TargetState primary = group.primary();
     TargetState preferred = preferredReplica(group, primary, organisation, mayRun);
     double otherRegionCost = otherRegionCost(group);
+    ToDoubleFunction<TargetState> cost =
+        target ->
+            cost(target, target == primary, atLeast, otherRegionCost, nowNanos)
+                + (connections.hasIdle(target) ? 0 : CONNECT_COST)
+                + (target == preferred || target == primary ? 0 : OTHER_REPLICA_COST);
+    TargetState best = cheapest(candidates, cost);
+    if (candidates.size() > 1 && !best.health().takesNextRead(nowNanos)) {
+      candidates.remove(best);
+      return cheapest(candidates, cost);
+    }
+    return best;
+  }
+
+  private static TargetState probe(
+      List<TargetState> targets, Connections connections, long nowNanos) {
+    for (TargetState target : targets) {
+      // Statements without an answer may hold all places; a probe must not wait for them.
+      if (target.health().isPassedOver()
+          && connections.isFree(target)
+          && target.health().takesNextReadAsProbe(nowNanos)) {
+        return target;
+      }
+    }
+    return null;
+  }
+
+  private static TargetState cheapest(
+      List<TargetState> targets, ToDoubleFunction<TargetState> costOf) {
     TargetState best = null;
     double bestCost = Double.MAX_VALUE;
-    for (TargetState target : group.targets()) {
-      boolean untried = !tried.contains(target.entry().id());
-      if (!untried || !target.acceptsNewWork() || !mayRun.test(target)) {
-        continue;
-      }
-      double cost = cost(target, target == primary, atLeast, otherRegionCost, nowNanos);
-      cost += hasIdleConnection.test(target) ? 0 : CONNECT_COST;
-      cost += target == preferred || target == primary ? 0 : OTHER_REPLICA_COST;
+    for (TargetState target : targets) {
+      double cost = costOf.applyAsDouble(target);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -92,7 +147,7 @@
       double hash = Rendezvous.unitHash(organisation, target.entry().id());
       hash += isInOtherRegion(target) ? 0 : 1;
       boolean usable = target != primary && target.acceptsNewWork() && mayRun.test(target);
-      if (usable && hash > highest) {
+      if (usable && !target.health().isPassedOver() && hash > highest) {
         preferred = target;
         highest = hash;
       }
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -15,6 +15,7 @@
   private static final double SMOOTHING_FACTOR = 0.2;
 
   private final Evacuations evacuations;
+  private TargetHealth health = new TargetHealth();
   private TargetEntry entry;
   private StorePosition position;
   private StorePosition primarySince;
@@ -159,6 +160,16 @@
     return !isLeaving() && !ruledOut;
   }
 
+  /** Returns the outcomes of the last statements, recorded only for some groups. */
+  public TargetHealth health() {
+    return health;
+  }
+
+  /** Forgets the outcomes of the last statements. */
+  public void resetHealth() {
+    health = new TargetHealth();
+  }
+
   /** Records that a statement was sent. */
   public void recordSent() {
     outstanding++;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -76,6 +76,7 @@
   private final CommitConfirmations confirmations;
   private final EvacuationService evacuations;
   private final WarmUpLimits warmUps;
+  private final TargetOutcomes outcomes;
   private final Metrics metrics = new Metrics();
   private final StoreEra era = new StoreEra();
   private final GatewayContext context;
@@ -152,6 +153,9 @@
             new ReplicaOrder(settings.failureDomain(), settings.regions()),
             homes::usesLocality);
     warmUps = new WarmUpLimits(loop, declarations, directory, homes, settings.regions());
+    outcomes =
+        new TargetOutcomes(
+            loop, directory, declarations, settings.regions().isMultiRegion(), metrics);
     context =
         new GatewayContext(
             loop,
@@ -167,7 +171,8 @@
             confirmations,
             settings.regions(),
             evacuations,
-            warmUps);
+            warmUps,
+            outcomes);
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
@@ -226,6 +231,7 @@
   private void onTargetRemoved(TargetState target) {
     pools.onTargetRemoved(target);
     prober.onTargetRemoved(target);
+    outcomes.onTargetRemoved(target);
   }
 
   private void registerGauges() {
@@ -233,6 +239,10 @@
     metrics.registerGauge("targets", "Registered targets", () -> directory.entries().size());
     metrics.registerGauge(
         "cold_targets", "Targets that are slow after their start", () -> warmUps.coldCount());
+    metrics.registerGauge(
+        "passed_over_targets",
+        "Targets that get no reads but probes because their statements fail",
+        outcomes::passedOverCount);
     metrics.registerGauge("timers", "Pending timers of the event loop", loop::timerCount);
     metrics.registerGauge("sessions", "Open caller sessions", sessions::size);
     metrics.registerGauge("fleet_size", "Live instances, including this one", fleet::size);
@@ -337,6 +347,7 @@
     evacuations.tick();
     warmUps.tick();
     pools.tick(nowNanos);
+    outcomes.tick();
     limits.tick();
     sync.tick();
     prober.tick(nowNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -31,7 +31,8 @@
     CommitConfirmations confirmations,
     Regions regions,
     EvacuationService evacuations,
-    WarmUpLimits warmUps) {
+    WarmUpLimits warmUps,
+    TargetOutcomes outcomes) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the connection pool of {@code target}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -126,6 +126,7 @@
 
   private void begun(TargetConnection found, Position atLeast, TargetReply reply) {
     if (!reply.ok()) {
+      context.outcomes().record(found.target(), reply);
       context.pool(found.target()).release(found);
       search.attemptFailed("begin failed: " + reply.failure());
       return;
@@ -161,6 +162,7 @@
           if (ended) {
             return;
           }
+          context.outcomes().record(target, reply);
           if (commit) {
             committed(reply);
           } else {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.TargetCommand;
 import io.hickorydrift.proxy.net.EventLoop;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -46,6 +47,7 @@
   private int attemptsInFlight;
   private boolean searching;
   private boolean completed;
+  private String retryReason;
 
   ReadExecution(
       GatewayContext context,
@@ -112,7 +114,12 @@
     attemptsInFlight++;
     lastTarget = target;
     searching = false;
-    EventLoop.Timer hedgeTimer = context.loop().after(hedgeDelayMs(target), this::hedge);
+    if (retryReason != null) {
+      context.outcomes().recordRetry(route.group(), retryReason);
+      retryReason = null;
+    }
+    Attempt attempt = new Attempt(target, inTransaction);
+    EventLoop.Timer hedgeTimer = context.loop().after(hedgeDelayMs(target), () -> attempt.onSlow());
     connection.run(
         session.prepareCommand(statement, connection, atLeast, deadlineNanos),
         deadlineNanos,
@@ -120,6 +127,7 @@
           hedgeTimer.cancel();
           attemptsInFlight--;
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
+          attempt.record(reply);
           if (inTransaction && !reply.lost() && !context.evacuations().isClosedTo(target)) {
             connection.run(
                 new TargetCommand.Rollback(),
@@ -132,7 +140,41 @@
         });
   }
 
-  private static long hedgeDelayMs(TargetState target) {
+  /** One attempt at a target. */
+  private final class Attempt {
+    private final TargetState target;
+    private final boolean inTransaction;
+    private boolean missed;
+    private long missedNanos;
+
+    private Attempt(TargetState target, boolean inTransaction) {
+      this.target = target;
+      this.inTransaction = inTransaction;
+    }
+
+    private void onSlow() {
+      // After its begin, a read may still wait for a place in the window.
+      if (!inTransaction) {
+        missed = true;
+        missedNanos = context.loop().nowNanos();
+        context.outcomes().recordMissing(target);
+      }
+      hedge();
+    }
+
+    private void record(TargetReply reply) {
+      if (missed) {
+        context.outcomes().recordLate(target, reply, missedNanos);
+      } else {
+        context.outcomes().record(target, reply);
+      }
+    }
+  }
+
+  private long hedgeDelayMs(TargetState target) {
+    if (context.outcomes().isActive(route.group())) {
+      return TimeUnit.NANOSECONDS.toMillis(target.health().retryDelayNanos());
+    }
     long delayMs = (long) (target.averageAnswerNanos() * HEDGE_DELAY_FACTOR / NANOS_PER_MS);
     return Math.max(MIN_HEDGE_DELAY_MS, Math.min(MAX_HEDGE_DELAY_MS, delayMs));
   }
@@ -147,14 +189,28 @@
     }
   }
 
+  /**
+   * Returns whether the deadline leaves time for another attempt, as far as that was measured.
+   * Other groups always try again.
+   */
+  private boolean leavesTime() {
+    return !context.outcomes().isActive(route.group())
+        || context.loop().nowNanos()
+                + (long) lastTarget.health().averageAnswerNanos()
+                - deadlineNanos
+            < 0;
+  }
+
   /** Sends a hedged request to another target within the retry budget; the first answer wins. */
   private void hedge() {
     if (attemptsInFlight > 0 && !completed) {
       avoidUnresponsive();
     }
-    boolean allowed = !completed && !searching && attemptsInFlight < MAX_ATTEMPTS_IN_FLIGHT;
+    boolean allowed =
+        !completed && !searching && attemptsInFlight < MAX_ATTEMPTS_IN_FLIGHT && leavesTime();
     if (allowed && context.directory().group(route.group()).retryBudget().tryWithdraw()) {
       searching = true;
+      retryReason = "no_answer";
       search.attemptFailed("slow answer");
     }
   }
@@ -184,6 +240,8 @@
             reply.text());
     if (!searching) {
       searching = true;
+      retryReason =
+          reply.lost() ? "lost" : String.valueOf(reply.failure()).toLowerCase(Locale.ROOT);
       search.attemptFailed(reply.lost() ? "no answer" : String.valueOf(reply.failure()));
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -182,7 +182,7 @@
   }
 
   /** Returns whether the window has room and there is or may be opened a connection. */
-  private boolean isFree(String organisation) {
+  boolean isFree(String organisation) {
     boolean mayGrow = connections.size() < budget.getAsInt() && !attempts.isFull();
     return dispatch.hasRoom() && (mayGrow || idle.has(organisation));
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -1,5 +1,6 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.TargetCommand;
 import io.hickorydrift.core.statement.TargetReport;
@@ -90,6 +91,21 @@
         });
   }
 
+  /** Returns what the placement of reads of {@code organisation} needs to know of the pools. */
+  ReadPlacement.Connections connectionsOf(String organisation) {
+    return new ReadPlacement.Connections() {
+      @Override
+      public boolean hasIdle(TargetState target) {
+        return poolFor(target).hasIdle(organisation);
+      }
+
+      @Override
+      public boolean isFree(TargetState target) {
+        return poolFor(target).isFree(organisation);
+      }
+    };
+  }
+
   private int budget(TargetState target) {
     return homes.connectionBudget(target.entry().group(), target.entry().failureDomain());
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -129,7 +129,7 @@
                     atLeast,
                     triedTargets,
                     this::mayRun,
-                    t -> context.pool(t).hasIdle(organisation),
+                    context.pools().connectionsOf(organisation),
                     nowNanos);
     if (target == null && atLeast != null) {
       atLeast = null;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -80,6 +80,7 @@
         deadlineNanos,
         reply -> {
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
+          context.outcomes().record(target, reply);
           context.pool(target).release(connection);
           answered(target, reply);
         });
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -103,6 +103,18 @@
     refusedForRegion.inc();
   }
 
+  private final Counter readsRetried =
+      Counter.builder()
+          .name("hickorydrift_reads_retried_total")
+          .help("Reads tried again at another target, by the outcome at the one before")
+          .labelNames("reason")
+          .register(registry);
+
+  /** Counts a read that is tried again at another target. */
+  public void recordReadRetried(String reason) {
+    readsRetried.labelValues(reason).inc();
+  }
+
   private final Counter forwardedStatements =
       Counter.builder()
           .name("hickorydrift_forwarded_statements_total")
