--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -156,8 +156,17 @@
     if (waiter.forStatement()) {
       pool.held().onReused(connection);
     }
-    waits.onServed(waiter);
-    waiter.listener().acquired(connection);
+    boolean handedOver = false;
+    try {
+      waits.onServed(waiter);
+      waiter.listener().acquired(connection);
+      handedOver = true;
+    } finally {
+      if (!handedOver) {
+        // Nobody would release it, and it would count against the budget for good.
+        connection.close("error in a callback");
+      }
+    }
   }
 
   /** Opens a connection if the request should have one; returns false if one has to be closed. */
