--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -210,6 +210,7 @@
         .limits()
         .request(
             admission.organisation(),
+            route.priority(),
             new OrganisationRateLimiter.Listener() {
               @Override
               public void admitted() {
