Let proofs of freshness expire before the test expects staleness

UnresponsiveConnectionTest.partitionedDomain... expects that a read of at most 100 ms staleness is refused once its domain is partitioned. Once it was served. Trace (5 runs with bounded reads right after the partition, load about 15): reads sent 0 and 61 ms after the partition are served, and one sent 72 ms after it is refused. The read of 61 ms states an age of 89 ms and was answered 71 ms after the partition, so that its proof is at least 18 ms older than the partition. The answer was right: the age counts at the arrival of the request, and the proof was younger than 100 ms then. The five reads before it may take less than 100 ms.

The test now waits until 100 ms have passed since the partition. From then on no proof can hold, and any answer but a refusal is a fault.

Ruled out: a proof obtained during the partition (the age above).

--- a/proxy/src/test/java/io/hickorydrift/proxy/UnresponsiveConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/UnresponsiveConnectionTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,7 @@
  */
 class UnresponsiveConnectionTest {
   private static final long DEADLINE_MS = 4_000;
+  private static final long MAX_AGE_MS = 100;
 
   private final Map<String, TcpRelay> relays = new HashMap<>();
   private LocalFleet fleet;
@@ -134,19 +136,24 @@
             relay.dropAllBytes();
           }
         });
+    final long cutNanos = System.nanoTime();
     for (int i = 0; i < 5; i++) {
       CallerAnswer unbounded = read(2, "SELECT COUNT(*) FROM t");
       assertThat(unbounded.code()).as(unbounded.message()).isZero();
       assertThat(unbounded.rows().toString()).isEqualTo("[[1]]");
       assertThat(unbounded.target()).isEqualTo(localTarget);
     }
+    // Until then a proof from before the partition may hold, and the read is rightly served.
+    fleet.await(
+        "proofs of freshness older than the bound",
+        () -> System.nanoTime() - cutNanos > TimeUnit.MILLISECONDS.toNanos(MAX_AGE_MS));
     CallerAnswer boundedStaleness =
         caller
             .call(
                 fleet.instances().get(2).callersAddress(),
                 "read-0",
                 null,
-                CallerClient.body("SELECT 1", 100L, DEADLINE_MS))
+                CallerClient.body("SELECT 1", MAX_AGE_MS, DEADLINE_MS))
             .join();
     assertThat(boundedStaleness.code())
         .isIn((long) ResultCode.TOO_STALE.number(), (long) ResultCode.NO_TARGET.number());
