Deliver answers of homes without a link to the entry instance

LargerDomainsTest.everyInstanceServesWrites... failed once with "it is not known whether the request took effect". No exchange with a target had timed out. Instances keep links to their own domain; links to others are opened when a message is sent, and a message is dropped while its link is not connected. If an entry instance reached no home in its own domain, it sent the write to a home in another one over a link that it had opened for that. The home ran the write, opened its own link for the answer and dropped the answer. The entry instance waited until the deadline and reported an unknown outcome.

Trace of the new test on the old code: "tanswer t-0-0 OK leftMs=4374", "answer dropped self=i-7 peer=i-8 code=0 connected=false", "expire self=i-8 peer=i-7".

The home now sends the answer again every 5 ms until the link is connected or the entry instance no longer waits, and counts the request as in progress until then. An attempt whose message was never accepted by a link no longer counts as sent, so that it is refused as not run.

Ruled out: exchanges without an answer and a changed primary (traced, none in the failing runs), a broken link (no event of it at the entry instance in the run of the original test).

Not changed: messages queued on a link that breaks are still lost, answers included, and so are grants of tokens to a peer without a link.

--- a/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
@@ -32,6 +32,8 @@
 public final class Router {
   private static final long DEADLINE_GRACE_MS = 100;
   private static final long RETRY_DELAY_MS = 50;
+  // A link is usually connected after a few round trips.
+  private static final long ANSWER_RETRY_DELAY_MS = 5;
   private static final long RETRY_AFTER_MS = 200;
 
   private final String self;
@@ -51,6 +53,7 @@
     private final long deadlineNanos;
     private final AtomicBoolean answered = new AtomicBoolean();
     private volatile String peer;
+    private volatile boolean sent;
     private volatile boolean mayHaveTakenEffect;
     private final List<String> failedInstances = new CopyOnWriteArrayList<>();
 
@@ -92,12 +95,24 @@
   /** Serves a request that a peer forwarded to this home. */
   void onForwardRequest(String peer, ForwardRequest request) {
     forwardedInFlight.incrementAndGet();
+    long endNanos =
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(request.deadlineMs() + DEADLINE_GRACE_MS);
     home.serve(
         request,
-        answer -> {
-          forwardedInFlight.decrementAndGet();
-          peers.send(peer, withCorrelationId(answer, request.correlationId()));
-        });
+        answer -> sendAnswer(peer, withCorrelationId(answer, request.correlationId()), endNanos));
+  }
+
+  /**
+   * Sends an answer, again if the link to the entry instance is not connected yet: that is opened
+   * by the first attempt if the instances exchange no other messages. The entry instance does not
+   * wait longer than until {@code endNanos}.
+   */
+  private void sendAnswer(String peer, ForwardAnswer answer, long endNanos) {
+    if (peers.send(peer, answer) || System.nanoTime() - endNanos >= 0) {
+      forwardedInFlight.decrementAndGet();
+    } else {
+      timer.after(ANSWER_RETRY_DELAY_MS, () -> sendAnswer(peer, answer, endNanos));
+    }
   }
 
   /** Handles the answer of a peer to a forwarded request. */
@@ -151,6 +166,7 @@
     for (String candidate : candidates(attempt, settings, group)) {
       if (candidate.equals(self)) {
         attempt.peer = self;
+        attempt.sent = true;
         home.serve(request, answer -> handleAnswer(attempt, self, answer, settings));
         return;
       }
@@ -167,12 +183,15 @@
 
   private boolean send(String peer, ForwardRequest request, Attempt attempt) {
     long id = correlationIds.incrementAndGet();
+    final boolean sentBefore = attempt.sent;
     attempt.peer = peer;
+    attempt.sent = true;
     inFlight.put(id, attempt);
     if (peers.send(peer, withIdAndDeadline(request, id, request.deadlineMs()))) {
       return true;
     }
     inFlight.remove(id);
+    attempt.sent = sentBefore;
     return false;
   }
 
@@ -223,9 +242,8 @@
 
   private void expire(Attempt attempt) {
     inFlight.values().remove(attempt);
-    boolean sent = attempt.peer != null && attempt.request.op() != HomeOp.READ;
     boolean unknown =
-        (sent || attempt.mayHaveTakenEffect)
+        (attempt.sent || attempt.mayHaveTakenEffect)
             && (attempt.request.op() == HomeOp.WRITE || attempt.request.op() == HomeOp.COMMIT);
     attempt.complete(
         Refusal.of(unknown ? ResultCode.OUTCOME_UNKNOWN : ResultCode.NO_HOME, RETRY_AFTER_MS));
--- a/proxy/src/test/java/io/hickorydrift/proxy/control/LargerDomainsTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/control/LargerDomainsTest.java
@@ -60,6 +60,28 @@
     fleet.await("lost peer removed at all instances", () -> allListPeers(INSTANCES - 2));
   }
 
+  /**
+   * Guards against lost answers of homes in other domains, which usually have no link to the entry
+   * instance. The caller would get an unknown outcome for a write that took effect.
+   */
+  @Test
+  void writesAreAnsweredByHomesOfOtherDomains() {
+    CallerClient caller = new CallerClient(CallerClient.newHttpClient(), FleetPlan.key(0));
+    String first = fleet.instances().get(0).callersAddress();
+    assertThat(caller.call(first, "write-0", "CREATE TABLE t (n INT)").code()).isZero();
+    List<Instance> homes =
+        fleet.instances().stream().filter(each -> !each.status().groups().isEmpty()).toList();
+    for (Instance home : homes.subList(0, homes.size() - 1)) {
+      home.close();
+      fleet.instances().remove(home);
+    }
+    for (Instance instance : fleet.instances()) {
+      CallerAnswer written =
+          caller.call(instance.callersAddress(), "write-0", "INSERT INTO t VALUES (1)");
+      assertThat(written.code()).as(instance.id() + " " + written.message()).isZero();
+    }
+  }
+
   @Test
   void leavingTargetReachesEveryHome() {
     String leaving = FleetPlan.targetId(0, 1);
