Let requests wait while a target recovers from an outage

Cause, by trace of RefusalReplayTest: after an outage the target's slots are all busy (0.97 to 1.02), but each half second 37 connections are opened at 12 ms of a slot each, 3 to 18 under the rule of other groups. With refusals on arrival few requests of one organisation wait at a time, so that nearly each service needs another connection. Longer retry delays, as ruled out, would not change that: capacity is used up, not idle.

RecoveryPhase: after a target served nothing for over 1 s while requests arrived, statements wait instead of being refused on arrival, and those of organisations with an idle connection are served first, until nothing waits and at most for as long as the outage lasted.

Runs: RefusalReplayTest (the test named above was red on the old code), RecoveryPhaseTest, ConnectionOrderReplayTest, GatewayPredictedWaitTest, GatewayIdleTransactionTest, GatewaySchedulingTest green. Not run: a test of the recovery with real connections (none exists).

--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -51,6 +51,7 @@
   final StatementWindow window;
   Consumer<ReplayedRequest> onEnd = request -> {};
   private final WaitPrediction prediction = new WaitPrediction();
+  private final RecoveryPhase recovery = new RecoveryPhase();
 
   ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
     this.clock = clock;
@@ -98,6 +99,10 @@
     if (!scheduled || isFree(request.organisation)) {
       return ImmediateRefusal.WAIT;
     }
+    recovery.recordWaiting(clock.nowNanos());
+    if (recovery.isActive(clock.nowNanos())) {
+      return ImmediateRefusal.WAIT;
+    }
     boolean queued = queue.count(w -> w.request.priority() <= waiting.priority()) > 0;
     return ImmediateRefusal.retryAfterMs(
         waiting,
@@ -108,6 +113,11 @@
         clock.nowNanos());
   }
 
+  private void recordServed() {
+    prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
+    recovery.recordServed(!queue.isEmpty(), clock.nowNanos());
+  }
+
   private Connection idleOf(String organisation) {
     for (int i = idle.size() - 1; i >= 0; i--) {
       if (idle.get(i).organisation.equals(organisation)) {
@@ -162,7 +172,12 @@
     }
     boolean lacking = false;
     Set<String> unserved = new HashSet<>();
-    for (Waiter next : queue.items(clock.nowNanos())) {
+    List<Waiter> ordered =
+        recovery.serviceOrder(
+            queue.items(clock.nowNanos()),
+            waiter -> idleOf(waiter.request.organisation()) != null,
+            clock.nowNanos());
+    for (Waiter next : ordered) {
       String organisation = next.request.organisation();
       if (!window.hasRoom()) {
         break;
@@ -171,7 +186,7 @@
       if (own != null) {
         queue.poll(waiter -> waiter == next, clock.nowNanos());
         idle.remove(own);
-        prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
+        recordServed();
         begin(own, next.replayed);
       } else if (unserved.add(organisation) && openingCount() < MAX_OPENING) {
         lacking |= !openFor(next);
@@ -295,7 +310,7 @@
             waiter -> waiter.request.organisation().equals(connection.organisation),
             clock.nowNanos());
     if (next != null) {
-      prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
+      recordServed();
       begin(connection, next.replayed);
       return;
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
@@ -27,6 +27,10 @@
         "waiting_requests",
         "Requests that wait for a connection to the target",
         () -> pools.figures(TargetPool::waitingCount));
+    metrics.registerTargetGauge(
+        "target_recovering",
+        "Whether the target works through the requests that an outage has left (1)",
+        () -> pools.figures(pool -> pool.isRecovering() ? 1 : 0));
     metrics.registerTargetGauge(
         "statement_window",
         "Maximum number of statements in flight at the target",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -65,7 +65,7 @@
     attempts = new OpenAttempts(loop, target);
     demand = new ConnectionDemand(loop, connections, waiters, budget);
     StatementWindow window = new StatementWindow(target.entry().slots());
-    predicted = new PredictedWaits(loop, waiters, window, observer);
+    predicted = new PredictedWaits(loop, target, waiters, window, observer);
     dispatch = new WindowedDispatch(this, waiters, demand, window, predicted);
   }
 
@@ -83,6 +83,11 @@
     return dispatch;
   }
 
+  /** Returns whether the target works through the requests that an outage has left. */
+  boolean isRecovering() {
+    return predicted.isRecovering();
+  }
+
   /** Returns the number of requests that wait for a connection. */
   int waitingCount() {
     return waiters.count();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -9,7 +9,8 @@
 /**
  * Gives places in a target's window and connections to the requests that wait, in their order.
  * Statements of open transactions come first, because they hold a connection that others wait for.
- * Used while the group has urgent work.
+ * After an outage of the target, requests with an idle connection come before the others. Used
+ * while the group has urgent work.
  *
  * <p>Invariant: a place belongs to a connection that is being opened or has commands in flight; it
  * is given back when the connection is opened, has no more commands, is released or is closed.
@@ -134,7 +135,8 @@
     }
     boolean lacking = false;
     Set<String> unserved = new HashSet<>();
-    for (ConnectionWaiters.Waiter next : waiters.items()) {
+    for (ConnectionWaiters.Waiter next :
+        waits.serviceOrder(each -> !each.forStatement() || pool.hasIdle(each.organisation()))) {
       boolean allowed = window.hasRoom() || !next.forStatement();
       if (!allowed || unserved.contains(next.organisation())) {
         continue;
