--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -255,6 +255,11 @@
     }
   }
 
+  @Override
+  public boolean isRepeatable() {
+    return true;
+  }
+
   @Override
   public void exhausted(String reason) {
     searching = false;
