Repeat store calls without an answer in time

Cause: three delays add up at an instance that watches the store itself. After a failure, an instance that is no candidate for the relay waits 2 s before each further call, also when no candidate is left that could pass on what the store holds. While its calls fail, it closes its links to the relays of other failure domains, from which it could take the declaration. And a pong of a peer that is behind too restarts the 0.7 s after which a newer declaration is requested from a peer; two instances without answers held each other back without end.

A watch that timed out is now repeated at once, the first time. After that, candidates and instances that reach no candidate repeat calls every 0.25 s and keep their links to other relays. The others still wait 2 s, since a store that is away would be called by the whole fleet. Only a change of the own version restarts the time before a request to a peer.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
@@ -23,7 +23,9 @@
   private PeerMessage change;
   private long changeBaseVersion;
   private byte[] changeTarget;
-  private long behindSinceNanos = Long.MIN_VALUE;
+  // The version in force since when a peer has had a newer one, and that time.
+  private long behindAtVersion = Long.MIN_VALUE;
+  private long behindSinceNanos;
   private long requestedNanos = Long.MIN_VALUE;
 
   DeclarationExchange(EventLoop loop, Declarations declarations, PlatformAdapter platform) {
@@ -56,15 +58,16 @@
 
   /**
    * Handles the version that a peer has in force. Requests a newer one if the relay has not sent it
-   * in time, from one peer at a time.
+   * in time, from one peer at a time. Other peers that are behind too say nothing about that.
    */
   void onPeerVersion(OutboundPeerLink link, long peerVersion) {
     long nowNanos = loop.nowNanos();
-    if (peerVersion <= declarations.current().version()) {
-      behindSinceNanos = Long.MIN_VALUE;
+    long version = declarations.current().version();
+    if (peerVersion <= version) {
       return;
     }
-    if (behindSinceNanos == Long.MIN_VALUE) {
+    if (behindAtVersion != version) {
+      behindAtVersion = version;
       behindSinceNanos = nowNanos;
     }
     boolean relayHadTime =
@@ -73,7 +76,7 @@
         requestedNanos != Long.MIN_VALUE && nowNanos - requestedNanos < REQUEST_INTERVAL_NANOS;
     if (relayHadTime && !requested) {
       requestedNanos = nowNanos;
-      link.send(new PeerMessage.DeclarationRequest(declarations.current().version()));
+      link.send(new PeerMessage.DeclarationRequest(version));
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -147,11 +147,12 @@
 
   /**
    * Returns the candidates for the own failure domain's relay. A relay also links to those of the
-   * other failure domains, from which it takes proofs that it is up to date.
+   * other failure domains, from which it takes proofs that it is up to date, and declarations while
+   * the store does not answer it.
    */
   private Set<String> linkedRelays() {
     Set<String> relays = new HashSet<>(fleet.relayCandidates());
-    if (sync.isWatching()) {
+    if (sync.needsOtherRelays()) {
       relays.addAll(fleet.relaysOfOtherDomains());
     }
     relays.remove(self);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -30,10 +30,7 @@
   // Maximum time for which this instance may stay behind its peers. Above the pause after a change
   // at their relays and at the own one.
   private static final long STALE_NANOS = 1_000_000_000L;
-  private static final long RETRY_MS = 250;
   private static final long REPEATED_LOSS_MS = 1_000;
-  // A relay finds the recovery of the store and passes it on; the others seldom need to.
-  private static final long NON_CANDIDATE_RETRY_MS = 2_000;
   // Time for the other instances of a fleet that starts to register themselves.
   private static final long START_PAUSE_MS = 300;
   // Time for the first candidate for the relay to read the store and, by its next heartbeat, to say
@@ -51,6 +48,7 @@
   private final StoreEra era;
   private final RelaySubscription subscription;
   private final WatchWait watchWait;
+  private final StoreRetry retries;
   private final SnapshotReader snapshots;
   private final String self;
   private RelaySelection selection;
@@ -87,6 +85,7 @@
     watchWait = new WatchWait(loop, declarations, peers);
     era.addListener(this::onNewEra);
     this.self = self;
+    retries = new StoreRetry(loop, fleet, peers, self);
     snapshots =
         new SnapshotReader(
             loop,
@@ -119,6 +118,14 @@
     return watching && loaded && reachable;
   }
 
+  /**
+   * Returns whether this instance needs the relays of other failure domains: to compare what it
+   * sees of the store, or as the only ones to learn from while its own calls are not answered.
+   */
+  boolean needsOtherRelays() {
+    return isWatching() || watching && retries.dependsOnOwnCalls();
+  }
+
   StorePosition position() {
     return position;
   }
@@ -170,6 +177,7 @@
   private void beginWatching() {
     Logger.info("event=store_watch_started position={}", position);
     watching = true;
+    retries.reset();
     if (loaded && isOfCurrentEra() && !declarations.needsStoreVersion()) {
       watch();
     } else {
@@ -280,6 +288,7 @@
 
   private void load() {
     watchNumber++;
+    retries.onCall(0);
     snapshots.read();
   }
 
@@ -305,10 +314,12 @@
     paused = false;
     long requestNanos = loop.nowNanos();
     long number = ++watchNumber;
+    long waitMs = watchWait.start(reachable);
+    retries.onCall(waitMs);
     store.watch(
         ALL_KEYS,
         position.revision(),
-        watchWait.start(reachable),
+        waitMs,
         result -> {
           if (number == watchNumber) {
             onWatchResult(result, requestNanos);
@@ -375,7 +386,7 @@
       watchAfterPause(CHANGE_PAUSE_MS);
     } else if (watchWait.endedEarly(loop.nowNanos())) {
       // An answer without a change before the end of the wait would be repeated at once.
-      watchAfterPause(RETRY_MS);
+      watchAfterPause(StoreRetry.RETRY_MS);
     } else {
       watch();
     }
@@ -404,7 +415,7 @@
     historyLost = true;
     historyLostNanos = loop.nowNanos();
     if (repeated) {
-      afterPause(RETRY_MS, this::load);
+      afterPause(StoreRetry.RETRY_MS, this::load);
     } else {
       load();
     }
@@ -415,6 +426,7 @@
   }
 
   private void markReachable() {
+    retries.reset();
     if (!reachable) {
       reachable = true;
       lastFailure = null;
@@ -430,7 +442,6 @@
     lastFailure = status;
     contents.recordFailure(0);
     store.closeIdleConnections();
-    boolean retrySoon = fleet.relayCandidates().contains(self) || !loaded;
-    afterPause(retrySoon ? RETRY_MS : NON_CANDIDATE_RETRY_MS, retry);
+    afterPause(retries.pauseMs(status, loaded), retry);
   }
 }
