Keep spare places in the window from a flooding organisation

Cause, by trace of WindowReplayTest.floodDelaysOnlyTheFloodingOrganisation: in the flood of listings nearly all late requests of the worst other organisation are bids of 4 to 6 statements (one listing each was refused). Each statement waits in the target's own queue behind listings of the flood, because the window has grown to 8 with 4 slots. Ruled out: connections to open or freed connections; the late bids had theirs.

Now an organisation that has places for half of the slots gets none of the places beyond the slots plus 2 for first statements. A statement is still not refused on arrival while the window has room.

--- a/core/src/main/java/io/hickorydrift/core/scheduling/StatementWindow.java
+++ b/core/src/main/java/io/hickorydrift/core/scheduling/StatementWindow.java
@@ -39,6 +39,15 @@
     return inFlight < size;
   }
 
+  /**
+   * Returns whether a first statement may be sent of an organisation that has {@code ownInFlight}
+   * places. Those beyond what keeps the slots busy are not for one that has half of the slots:
+   * statements of others would wait behind its own in the target's queue.
+   */
+  public boolean hasRoomFor(int ownInFlight) {
+    return hasRoom() && (inFlight < slots + SPARE || 2 * ownInFlight < slots);
+  }
+
   /** Takes a place; it has to be given back. */
   public void take() {
     inFlight++;
--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -91,12 +91,13 @@
   }
 
   /** Returns whether the window has room and a connection of the organisation is free. */
-  private boolean isFree(String organisation) {
-    return window.hasRoom() && (idleOf(organisation) != null || connections.size() < budget);
+  private boolean isFree(ReplayedRequest request) {
+    return window.hasRoom()
+        && (idleOf(request.organisation) != null || connections.size() < budget);
   }
 
   private long refusesAtOnce(ReplayedRequest request, WaitingRequest waiting) {
-    if (!scheduled || isFree(request.organisation)) {
+    if (!scheduled || isFree(request)) {
       return ImmediateRefusal.WAIT;
     }
     recovery.recordWaiting(clock.nowNanos());
@@ -118,6 +119,14 @@
     recovery.recordServed(!queue.isEmpty(), clock.nowNanos());
   }
 
+  private boolean hasRoomFor(String organisation) {
+    long own =
+        connections.stream()
+            .filter(each -> each.organisation.equals(organisation) && (each.running || !each.open))
+            .count();
+    return window.hasRoomFor((int) own);
+  }
+
   private Connection idleOf(String organisation) {
     for (int i = idle.size() - 1; i >= 0; i--) {
       if (idle.get(i).organisation.equals(organisation)) {
@@ -179,8 +188,8 @@
             clock.nowNanos());
     for (Waiter next : ordered) {
       String organisation = next.request.organisation();
-      if (!window.hasRoom()) {
-        break;
+      if (!hasRoomFor(organisation)) {
+        continue;
       }
       Connection own = idleOf(organisation);
       if (own != null) {
--- a/core/src/test/java/io/hickorydrift/core/scheduling/StatementWindowTest.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/StatementWindowTest.java
@@ -98,4 +98,28 @@
       assertThat(any.size()).isBetween(slots, 2 * slots);
     }
   }
+
+  /** Guards against an organisation whose flood fills the target's own queue. */
+  @Test
+  void placesBeyondTheBusySlotsAreNotForAnOrganisationWithHalfOfTheSlots() {
+    StatementWindow window = new StatementWindow(4);
+    for (int i = 0; i < 100; i++) {
+      while (window.hasRoom()) {
+        window.take();
+      }
+      window.recordAnswer(1_000_000);
+    }
+    assertThat(window.size()).isEqualTo(8);
+    while (window.hasRoom()) {
+      window.take();
+    }
+    assertThat(window.hasRoomFor(0)).isFalse();
+    window.giveBack();
+    assertThat(window.hasRoomFor(1)).isTrue();
+    assertThat(window.hasRoomFor(2)).isFalse();
+    window.giveBack();
+    assertThat(window.hasRoomFor(2)).isFalse();
+    window.giveBack();
+    assertThat(window.hasRoomFor(8)).isTrue();
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -70,6 +70,14 @@
     return gated.isEmpty() && window.hasRoom();
   }
 
+  private boolean hasRoomFor(String organisation) {
+    int own = 0;
+    for (TargetConnection each : places) {
+      own += each.organisation().equals(organisation) ? 1 : 0;
+    }
+    return window.hasRoomFor(own);
+  }
+
   /** Takes a place, even if the window has no room. */
   void takePlace(TargetConnection connection) {
     if (places.add(connection)) {
@@ -137,7 +145,7 @@
     Set<String> unserved = new HashSet<>();
     for (ConnectionWaiters.Waiter next :
         waits.serviceOrder(each -> !each.forStatement() || pool.hasIdle(each.organisation()))) {
-      boolean allowed = window.hasRoom() || !next.forStatement();
+      boolean allowed = !next.forStatement() || hasRoomFor(next.organisation());
       if (!allowed || unserved.contains(next.organisation())) {
         continue;
       }
