Add the operator's command for evacuations

hickorydrift evacuate writes, lists and removes the evacuation items through the store port and the adapter's prefix. An answer 403 of the store has a status of its own, and the command then ends with the new result code 605 and names the key to write or delete. No answer is reported as unknown (604), a refusal as not run (603). Bad names and arguments are refused before the settings are read.

The stand-in store can let callers write the operator's keys.

--- a/core/src/main/java/io/hickorydrift/core/error/ResultCode.java
+++ b/core/src/main/java/io/hickorydrift/core/error/ResultCode.java
@@ -61,6 +61,8 @@
   STORE_UNAVAILABLE(603, 503, Outcome.NOT_RUN, "the platform's store does not respond"),
   /** The store's response did not arrive, so the change may or may not have been accepted. */
   SETTINGS_UNKNOWN(604, 504, Outcome.UNKNOWN, "it is not known whether the change was accepted"),
+  /** The platform leaves the write to its operator. */
+  STORE_FORBIDDEN(605, 403, Outcome.NOT_RUN, "the platform does not allow this write"),
 
   /** Internal error of the proxy. */
   INTERNAL(700, 500, Outcome.UNKNOWN, "internal error of the proxy"),
--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/Main.java
@@ -28,6 +28,7 @@
         new ApplyCommand(),
         new ExportCommand(),
         new StatusCommand(),
+        new EvacuateCommand(),
         new KeysCommand(),
         new DemoCommand(),
         new MeasureCommand(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/KeyValueStore.java
@@ -30,6 +30,8 @@
     HISTORY_LOST,
     /** The store rejected the call; nothing was changed. */
     REFUSED,
+    /** The caller may not make this call; nothing was changed. */
+    FORBIDDEN,
     /** No response; the call may have taken effect or may still do so. */
     UNKNOWN
   }
