--- a/core/src/test/java/io/hickorydrift/core/scheduling/RefusalReplayTest.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/RefusalReplayTest.java
@@ -17,6 +17,13 @@
         .arrivals(Replay.BIDS, 150, 5_000, 8_000);
   }
 
+  private static Replay withRetries(long seed) {
+    return new Replay(seed)
+        .arrivals(Replay.BIDS, 80, 0, 25_000)
+        .arrivals(Replay.LISTINGS, 40, 0, 25_000)
+        .withRetries();
+  }
+
   private static double meanMsToRefusal(Outcome outcome, String kind) {
     return outcome.requests().stream()
             .filter(r -> r.result == Result.REFUSED && r.kind.equals(kind))
@@ -58,11 +65,7 @@
   @Test
   void retriesAfterAnOutageEnd() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      Replay replay =
-          new Replay(seed)
-              .arrivals(Replay.BIDS, 80, 0, 25_000)
-              .arrivals(Replay.LISTINGS, 40, 0, 25_000)
-              .withRetries();
+      Replay replay = withRetries(seed);
       Outcome before = replay.run(false, RefusalReplayTest::outage);
       Outcome now = replay.run(true, RefusalReplayTest::outage);
       assertThat(now.served()).isEqualTo(before.served());
@@ -73,11 +76,7 @@
   @Test
   void retriesAfterAnOutageAreServedAsSoonAsBefore() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      Replay replay =
-          new Replay(seed)
-              .arrivals(Replay.BIDS, 80, 0, 25_000)
-              .arrivals(Replay.LISTINGS, 40, 0, 25_000)
-              .withRetries();
+      Replay replay = withRetries(seed);
       Outcome before = replay.run(false, RefusalReplayTest::outage);
       Outcome now = replay.run(true, RefusalReplayTest::outage);
       assertThat(meanMsToService(now)).isLessThanOrEqualTo(meanMsToService(before));
