Distinguish slot 0 from no slot in the mark of a heartbeat

A peer that had been sent a heartbeat without a slot got only Alive messages after the instance had acquired slot 0, until the next full heartbeat (30 s). The digest of the domain has the same mark. A fleet whose only remaining home held slot 0 answered "no instance that serves the group can be reached" (code 403, not run).

Found by repeating the test under load (1 of 15, then 1 of 2 with the state of both instances printed): the entry instance showed slot -1 for a home that held slot 0, for over 8 s with a connected link. Ruled out by that trace: a lost link, an expired slot lease, a change of primary.

The mark is now a 64-bit hash of the text of the fields.

--- a/core/src/main/java/io/hickorydrift/core/membership/Membership.java
+++ b/core/src/main/java/io/hickorydrift/core/membership/Membership.java
@@ -4,11 +4,11 @@
 import io.hickorydrift.core.message.DigestMark;
 import io.hickorydrift.core.message.DomainDigest;
 import io.hickorydrift.core.message.Heartbeat;
+import io.hickorydrift.core.placement.TextHash;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -166,15 +166,20 @@
     return live;
   }
 
-  /** Returns a hash of the heartbeat's fields except the configuration entry. */
+  /**
+   * Returns a hash of the heartbeat's fields except the configuration entry. {@code Objects.hash}
+   * does not distinguish slot 0 from none (-1), so that peers were not told of a new slot 0.
+   */
   public static long mark(Heartbeat heartbeat) {
-    return Objects.hash(
-        heartbeat.instance(),
-        heartbeat.run(),
-        heartbeat.failureDomain(),
-        heartbeat.peerAddress(),
-        heartbeat.slot(),
-        heartbeat.leaving());
+    return TextHash.of(
+        String.join(
+            "\n",
+            heartbeat.instance(),
+            heartbeat.run(),
+            heartbeat.failureDomain(),
+            heartbeat.peerAddress(),
+            Long.toString(heartbeat.slot()),
+            Boolean.toString(heartbeat.leaving())));
   }
 
   private static long mark(List<Heartbeat> members) {
--- a/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
+++ b/core/src/main/java/io/hickorydrift/core/placement/Rendezvous.java
@@ -14,9 +14,6 @@
 public final class Rendezvous {
   private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
   private static final long MIX_2 = 0x94d049bb133111ebL;
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
-
   private static final int UNUSED_BITS = 12;
   private static final double HALF = 0.5;
 
@@ -25,7 +22,7 @@
   /** Returns the candidates in descending order of their hash weight for {@code key}. */
   public static <T> List<T> rank(String key, Collection<T> candidates) {
     List<T> ranked = new ArrayList<>(candidates);
-    long keyHash = hash(key);
+    long keyHash = TextHash.of(key);
     ranked.sort(
         Comparator.comparingLong((T candidate) -> weight(keyHash, candidate))
             .reversed()
@@ -35,7 +32,7 @@
 
   /** Returns a hash of {@code key} and {@code candidate} between 0 and 1, both exclusive. */
   public static double unitHash(String key, String candidate) {
-    long bits = weight(hash(key), candidate) >>> UNUSED_BITS;
+    long bits = weight(TextHash.of(key), candidate) >>> UNUSED_BITS;
     return (bits + HALF) / (1L << (Long.SIZE - UNUSED_BITS));
   }
 
@@ -48,15 +45,7 @@
   }
 
   private static long weight(long keyHash, Object candidate) {
-    return mix(keyHash ^ mix(hash(candidate.toString())));
-  }
-
-  private static long hash(String text) {
-    long hash = FNV_OFFSET;
-    for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-    }
-    return hash;
+    return mix(keyHash ^ mix(TextHash.of(candidate.toString())));
   }
 
   private static long mix(long value) {
--- a/core/src/test/java/io/hickorydrift/core/membership/MembershipTest.java
+++ b/core/src/test/java/io/hickorydrift/core/membership/MembershipTest.java
@@ -6,13 +6,16 @@
 import io.hickorydrift.core.message.DigestMark;
 import io.hickorydrift.core.message.DomainDigest;
 import io.hickorydrift.core.message.Heartbeat;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Checks which peers are live according to heartbeats and digests. */
 class MembershipTest {
   private static final long HEARTBEAT_VALIDITY_NANOS = 100;
   private static final long DIGEST_VALIDITY_NANOS = 1_000;
+  private static final int SLOTS = 4_000;
   private final Membership membership =
       new Membership("me", "d1", HEARTBEAT_VALIDITY_NANOS, DIGEST_VALIDITY_NANOS);
 
@@ -56,6 +59,23 @@
         .isEmpty();
   }
 
+  /**
+   * Guards against changes of a slot that peers do not learn of until the next full heartbeat: it
+   * is only sent earlier if its mark has changed.
+   */
+  @Test
+  void markDistinguishesAllSlotsAndNone() {
+    Set<Long> marks = new HashSet<>();
+    Set<Long> digestMarks = new HashSet<>();
+    for (long slot = -1; slot < SLOTS; slot++) {
+      Heartbeat own = heartbeat("a", "d1", slot);
+      marks.add(Membership.mark(own));
+      digestMarks.add(membership.ownDigest(own, 0).mark());
+    }
+    assertThat(marks).hasSize(SLOTS + 1);
+    assertThat(digestMarks).hasSize(SLOTS + 1);
+  }
+
   @Test
   void expiredHeartbeatHidesPeerUntilDigestIsRenewed() {
     membership.onDigest(digest(5, heartbeat("b", "d2", 3), heartbeat("c", "d2", 4)), 0);
