Check the link to the home when a session opens or a transaction begins

Cause: with 80 instances most links to homes are idle (silent for 0.5 s) before most operations, and a statement over an idle link waits for a ping: a round trip, and two instances with little processor time that have to handle it, within an objective of 100 ms for urgent work.

Change, for groups with homes by locality: single reads and statements of a begun transaction are sent together with the ping in the own region too, as before only to another region. The link is pinged when the session opens and when a transaction begins; the first statement arrives a round trip to the caller later. Writes and commits over idle links still wait. statements_held_for_ping_total counts the statements that wait.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -165,6 +165,7 @@
       credential = open.credential();
       answeredNanos = receivedNanos;
       context.callerCodec().writeReady(channel.out(), SessionState.IDLE, null);
+      context.homes().checkLink(route.group(), SingleStatement.needsPrimary(route, false));
     }
   }
 
@@ -265,6 +266,7 @@
                 readOnly,
                 context.metrics()::recordLinkRefusal);
     answer(StatementOutcome.done(SessionState.IN_TRANSACTION));
+    context.homes().checkLink(route.group(), needsPrimary);
   }
 
   private void endTransaction(Statement statement) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HomeRouter.java
@@ -160,6 +160,27 @@
     return !regionOf(peer).equals(ownRegion());
   }
 
+  /**
+   * Returns whether a statement of {@code group} that can be lost without harm is sent to {@code
+   * peer} before a ping has shown that the link works. The ping takes a round trip, and two
+   * instances with little processor time have to handle it.
+   */
+  boolean sendsAtOnce(String group, String peer) {
+    return isByLocality(group) || isInOtherRegion(peer);
+  }
+
+  /**
+   * Checks the link to the home of {@code group} if it has been idle, so that the caller's first
+   * statement does not have to wait for that. Has no effect unless the homes are by locality.
+   */
+  void checkLink(String group, boolean needsPrimary) {
+    OutboundPeerLink link =
+        isByLocality(group) ? remoteLink(group, needsPrimary, AllowedRegions.ALL) : null;
+    if (link != null) {
+      link.checkIfIdle();
+    }
+  }
+
   /** Returns whether this instance is the home of {@code group} in a region. */
   boolean isHome(String group) {
     return !isDirect(group) && ownRankedInstances(group).indexOf(self) == 0;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundForwards.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundForwards.java
@@ -41,8 +41,8 @@
    *
    * @param timeoutMs time within which the peer responds
    * @param atOnce whether to send it before a ping has shown that the link works; if it does not,
-   *     the statement is lost, which is noticed as early as otherwise. Between regions, waiting for
-   *     a ping would double the time that the statement takes
+   *     the statement is lost, which is noticed as early as otherwise. Waiting for a ping takes a
+   *     round trip
    * @param byLocality whether the peer is a home by locality, so that the bound of the link applies
    * @param rank rank among those that wait for a place; the lowest is first
    */
@@ -95,6 +95,9 @@
 
     /** Sends a ping, unless one is awaited; the link closes if nothing is received after it. */
     void probe();
+
+    /** Counts a statement that waits for the answer to a ping. */
+    void recordHeldForPing();
   }
 
   private final EventLoop loop;
@@ -142,6 +145,7 @@
       send(next);
     } else {
       held.add(next);
+      link.recordHeldForPing();
     }
     if (!recent) {
       link.probe();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -189,6 +189,18 @@
         });
   }
 
+  /** Sends a ping if a statement that is sent now would have to wait for one. */
+  void checkIfIdle() {
+    if (open && !channel.isClosed() && !hasRecentlyReceived()) {
+      probe();
+    }
+  }
+
+  @Override
+  public void recordHeldForPing() {
+    traffic.recordHeldForPing();
+  }
+
   @Override
   public boolean send(PeerMessage message) {
     if (!open || channel.isClosed()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerTraffic.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerTraffic.java
@@ -23,6 +23,11 @@
     this.regions = regions;
   }
 
+  /** Counts a statement that waits until a ping has shown that the link works. */
+  void recordHeldForPing() {
+    metrics.recordHeldForPing();
+  }
+
   void write(OutBuffer out, String peer, PeerMessage message) {
     int bytes = PeerMessageCodec.write(out, message);
     metrics.recordPeerBytes(message.getClass().getSimpleName(), !fleet.isInOwnDomain(peer), bytes);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -84,7 +84,7 @@
     OutboundForwards.Delivery delivery =
         new OutboundForwards.Delivery(
             route.statementTimeoutMs(),
-            begun && !commit && homes.isInOtherRegion(link.peer()),
+            begun && !commit && homes.sendsAtOnce(route.group(), link.peer()),
             homes.isByLocality(route.group()),
             begun ? LinkWindow.OPEN_TRANSACTION : route.priority());
     OutboundForwards.Listener listener =
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -106,7 +106,7 @@
                 admission.allowed()),
             new OutboundForwards.Delivery(
                 Math.max(0, route.statementTimeoutMs() - ageMs),
-                !writes && context.homes().isInOtherRegion(home.peer()),
+                !writes && context.homes().sendsAtOnce(route.group(), home.peer()),
                 byLocality,
                 route.priority()),
             new HomeListener(home.peer()));
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -110,6 +110,17 @@
           .labelNames("scope")
           .register(registry);
 
+  private final Counter statementsHeldForPing =
+      Counter.builder()
+          .name("hickorydrift_statements_held_for_ping_total")
+          .help("Statements that waited until a ping had shown that the link to the home works")
+          .register(registry);
+
+  /** Counts a statement that waits until a ping has shown that the link to the home works. */
+  public void recordHeldForPing() {
+    statementsHeldForPing.inc();
+  }
+
   private final Counter rateRefusals =
       Counter.builder()
           .name("hickorydrift_rate_refusals_total")
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
@@ -180,6 +180,30 @@
     assertThat(receivedTypes()).containsExactlyInAnyOrder("Forward", "Ping");
   }
 
+  /** Guards against statements that wait for a ping although their session or transaction began. */
+  @Test
+  void statementAfterCheckDoesNotWaitForAnotherPing() throws IOException {
+    link.checkIfIdle();
+    link.checkIfIdle();
+    runUntil(link::hasRecentlyReceived);
+    forward(false);
+    runUntil(() -> received.size() == 2);
+    assertThat(receivedTypes()).containsExactly("Ping", "Forward");
+    link.checkIfIdle();
+    forward(false);
+    runUntil(() -> received.size() == 3);
+    assertThat(receivedTypes()).containsExactly("Ping", "Forward", "Forward");
+  }
+
+  @Test
+  void checkFindsLinkThatDoesNotWork() throws IOException {
+    silent = true;
+    link.checkIfIdle();
+    runUntil(() -> received.size() == 1);
+    time.advanceMs(NO_ANSWER_MS);
+    runUntil(() -> !link.isUp());
+  }
+
   private List<String> forwardedIds() {
     return received.stream()
         .filter(PeerMessage.Forward.class::isInstance)
