Compare messages to the domain instead of their hash codes

Cause: MembershipService.sendToDomainIfChanged compared hashCode of the record. Two lists of leaving targets can have the same hash code, for example t-1, t-12 and t-0, t-22. The members of the domain then learnt of the change with the next full resend, up to 30 s later.

The last message itself is kept and compared. It is a list of ids of a few targets at most, held once for each instance.

--- a/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/MembershipService.java
@@ -55,7 +55,8 @@
   private List<Heartbeat> livePeers = List.of();
   private boolean relay = true;
   private Set<String> linkedPeers = Set.of();
-  private Sent lastDomainMessage;
+  private Record lastDomainMessage;
+  private long lastDomainMessageNanos = Long.MIN_VALUE;
   private long lastHeartbeatNanos = Long.MIN_VALUE;
   private long lastMarksNanos = Long.MIN_VALUE;
 
@@ -129,17 +130,19 @@
     }
   }
 
-  /** Sends {@code message} to the own domain if it has changed or a full resend is due. */
-  void sendToDomainIfChanged(Record message, long nowNanos) {
-    boolean unchanged =
-        lastDomainMessage != null
-            && lastDomainMessage.mark == message.hashCode()
-            && !due(lastDomainMessage.sentNanos, FULL_RESEND_INTERVAL_NANOS, nowNanos);
-    if (unchanged) {
-      return;
+  /**
+   * Sends {@code message} to the own domain if it has changed or a full resend is due; returns
+   * whether it did.
+   */
+  boolean sendToDomainIfChanged(Record message, long nowNanos) {
+    if (message.equals(lastDomainMessage)
+        && !due(lastDomainMessageNanos, FULL_RESEND_INTERVAL_NANOS, nowNanos)) {
+      return false;
     }
-    lastDomainMessage = new Sent(message.hashCode(), nowNanos);
+    lastDomainMessage = message;
+    lastDomainMessageNanos = nowNanos;
     sendToDomain(message);
+    return true;
   }
 
   /** Sends {@code message} to all live instances of the own domain. */
--- a/proxy/src/test/java/io/hickorydrift/proxy/control/MembershipServiceTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/control/MembershipServiceTest.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hickorydrift.core.message.Heartbeat;
+import io.hickorydrift.core.message.LeavingTargets;
 import io.hickorydrift.core.session.TokenMac;
 import io.hickorydrift.proxy.peer.PeerListener;
 import io.hickorydrift.proxy.peer.PeerNetwork;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -67,4 +69,19 @@
     assertThat(membership.onHeartbeat(heartbeat("peer"), NOW_NANOS + 1)).isFalse();
     assertThat(membership.onHeartbeat(heartbeat(SELF), NOW_NANOS + 1)).isFalse();
   }
+
+  /**
+   * Guards against leaving targets that the domain is not told of until the next full resend, up to
+   * 30 s later: the two lists have the same hash code.
+   */
+  @Test
+  void changedMessageWithEqualHashCodeIsSentAtOnce() {
+    LeavingTargets first = new LeavingTargets(List.of("t-1", "t-12"));
+    LeavingTargets second = new LeavingTargets(List.of("t-0", "t-22"));
+    assertThat(second).hasSameHashCodeAs(first);
+
+    assertThat(membership.sendToDomainIfChanged(first, NOW_NANOS)).isTrue();
+    assertThat(membership.sendToDomainIfChanged(second, NOW_NANOS + 1)).isTrue();
+    assertThat(membership.sendToDomainIfChanged(second, NOW_NANOS + 2)).isFalse();
+  }
 }
