Keep members whose leases in the copy end after a restore

Cause: a store that returns from an older copy ends the leases that ran out while it was away at its next check. Rates and connections were divided among too few members meanwhile.

An entry written since the restore is removed at once, as before, and so is the own one, which is then registered again.

Ruled out: delaying every removal in the first second, which also delays members that leave; delaying for longer than the part of a rate may be in use.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
@@ -1,5 +1,9 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.proxy.port.KeyValueStore.Item;
+import java.nio.charset.StandardCharsets;
+import org.tinylog.Logger;
+
 /**
  * Entry by which an instance registers itself in the store.
  *
@@ -18,6 +22,19 @@
     this(address, weight, failureDomain, false);
   }
 
+  /** Decodes an item of the store; returns null if it has been removed or is malformed. */
+  static FleetEntry decode(Item item) {
+    if (item.value() == null) {
+      return null;
+    }
+    String text = new String(item.value(), StandardCharsets.UTF_8);
+    FleetEntry entry = decode(text);
+    if (entry == null) {
+      Logger.warn("event=fleet_entry_unreadable key={} entry=\"{}\"", item.key(), text);
+    }
+    return entry;
+  }
+
   /** Decodes an entry; returns null if it is malformed. */
   static FleetEntry decode(String text) {
     String[] fields = text.split(" ", FIELD_COUNT);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetMembership.java
@@ -150,6 +150,11 @@
     return key.substring(KEY_PREFIX.length());
   }
 
+  /** Returns whether {@code key} is that of the own entry, and the entry has been written. */
+  boolean isOwnRegistration(String key) {
+    return registered && memberId(key).equals(instance);
+  }
+
   /** Returns the keys of the entries of all members. */
   List<String> keys() {
     return members.keySet().stream().map(name -> KEY_PREFIX + name).toList();
@@ -183,7 +188,7 @@
       // An event about the entry of an earlier run, or of a lease that has been replaced.
       return;
     }
-    FleetEntry stored = decode(item);
+    FleetEntry stored = FleetEntry.decode(item);
     // The store may not have received the latest own entry yet.
     FleetEntry entry = stored != null && name.equals(instance) ? own : stored;
     FleetEntry previous = entry == null ? members.remove(name) : members.put(name, entry);
@@ -205,18 +210,6 @@
     }
   }
 
-  private static FleetEntry decode(Item item) {
-    if (item.value() == null) {
-      return null;
-    }
-    String text = new String(item.value(), StandardCharsets.UTF_8);
-    FleetEntry entry = FleetEntry.decode(text);
-    if (entry == null) {
-      Logger.warn("event=fleet_entry_unreadable key={} entry=\"{}\"", item.key(), text);
-    }
-    return entry;
-  }
-
   /** Returns the ids of all live instances. */
   Set<String> instanceIds() {
     return members.keySet();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -31,6 +31,7 @@
   private static final long ENTRY_RECOVERY_NANOS = 2_500_000_000L;
   // A member may use its part of a rate until its last proof expires, which is shorter.
   private static final long MEMBER_RECOVERY_MS = 5_000;
+  private static final long NO_COPY = -1;
 
   private final EventLoop loop;
   private final PlatformAdapter platform;
@@ -44,6 +45,8 @@
   private Item unreadableDeclaration;
   private long lastFailureNanos;
   private boolean loaded;
+  private long copyRevision = NO_COPY;
+  private long restoredNanos;
   private long era;
 
   /** Creates contents; {@code reachable} tests whether the link to a member is up. */
@@ -121,6 +124,10 @@
     final boolean restored = loaded && snapshotEra > era;
     loaded = true;
     era = snapshotEra;
+    if (restored) {
+      copyRevision = position.revision();
+      restoredNanos = loop.nowNanos();
+    }
     Set<String> keys = new HashSet<>();
     for (Item item : snapshot) {
       if (evacuations.ownsKey(item.key())) {
@@ -132,6 +139,11 @@
     }
     // After the targets, which make their failure domains known.
     evacuations.applySnapshot(snapshot, position, knownDomains());
+    for (String key : fleet.keys()) {
+      if (!keys.contains(key) && (restored || isMemberOfCopy(key))) {
+        removeMemberLater(key, recoveryLeftMs());
+      }
+    }
     items.keySet().retainAll(keys);
     for (TargetEntry entry : directory.entries()) {
       String key = platform.targetsPrefix() + entry.id();
@@ -139,20 +151,33 @@
         removeTarget(key, !restored);
       }
     }
-    if (restored) {
-      fleet.keys().stream().filter(key -> !keys.contains(key)).forEach(this::removeMemberLater);
-    }
     keys.addAll(removals.pending());
     fleet.retainMembers(keys);
   }
 
-  private void removeMemberLater(String key) {
+  /**
+   * Returns whether the entry of a member is as the copy showed it that the store returned from,
+   * while its instance may not have written it again. The lease in the copy may end before that.
+   */
+  private boolean isMemberOfCopy(String key) {
+    Item known = items.get(key);
+    return known != null
+        && known.revision() <= copyRevision
+        && recoveryLeftMs() > 0
+        && !fleet.isOwnRegistration(key);
+  }
+
+  private long recoveryLeftMs() {
+    return MEMBER_RECOVERY_MS - TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - restoredNanos);
+  }
+
+  private void removeMemberLater(String key, long delayMs) {
     removals.schedule(
         key,
-        MEMBER_RECOVERY_MS,
+        delayMs,
         () -> {
           if (reachable.test(fleet.memberId(key))) {
-            removeMemberLater(key);
+            removeMemberLater(key, MEMBER_RECOVERY_MS);
           } else {
             fleet.remove(key);
           }
@@ -171,11 +196,12 @@
       if (item.key().equals(platform.declarationKey())) {
         applyDeclaration(item);
       } else if (isEntry(item)) {
-        keep(item);
         if (fleet.ownsKey(item.key())) {
-          removals.cancel(item.key());
-          fleet.apply(item, position);
-        } else if (evacuations.ownsKey(item.key())) {
+          applyMember(item, position);
+          return;
+        }
+        keep(item);
+        if (evacuations.ownsKey(item.key())) {
           evacuations.apply(item, position, knownDomains());
         } else {
           applyTarget(item, position);
@@ -186,6 +212,17 @@
     }
   }
 
+  private void applyMember(Item item, StorePosition position) {
+    boolean removedLater = item.value() == null && isMemberOfCopy(item.key());
+    keep(item);
+    if (removedLater) {
+      removeMemberLater(item.key(), recoveryLeftMs());
+    } else {
+      removals.cancel(item.key());
+      fleet.apply(item, position);
+    }
+  }
+
   private Set<String> knownDomains() {
     Set<String> domains = new TreeSet<>(fleet.failureDomains());
     directory.entries().forEach(entry -> domains.add(entry.failureDomain()));
