--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/GatewayCommand.java
@@ -10,6 +10,8 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.ServiceLoader;
 import joptsimple.OptionSet;
@@ -47,6 +49,7 @@
     String text = readText(file);
     GatewaySettings settings = GatewaySettingsReader.parse(file.toString(), text);
     Gateway gateway = new Gateway(loop, settings, platform);
+    gateway.setProcessAgeMs(processAgeMs());
     SettingsReloader reloader = new SettingsReloader(loop, file, text, settings, gateway::apply);
     gateway.start();
     reloader.start();
@@ -55,6 +58,15 @@
     return ExitCode.OK;
   }
 
+  private static long processAgeMs() {
+    Instant now = Instant.now();
+    return ProcessHandle.current()
+        .info()
+        .startInstant()
+        .map(start -> Duration.between(start, now).toMillis())
+        .orElse(0L);
+  }
+
   private static String readText(Path file) {
     try {
       return Files.readString(file);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/EraCheckedStore.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/EraCheckedStore.java
@@ -11,7 +11,8 @@
  * <p>Invariant: the listeners of a new era have run before the callback of the answer that names
  * it; no callback receives an answer of an older era. Thread safety: that of the client it wraps.
  */
-record EraCheckedStore(KeyValueStore store, StoreEra era) implements KeyValueStore {
+record EraCheckedStore(KeyValueStore store, StoreEra era, StartSteps steps)
+    implements KeyValueStore {
   @Override
   public void get(String key, Consumer<ReadResult> onResult) {
     store.get(key, result -> onResult.accept(check(result)));
@@ -82,6 +83,7 @@
     if (status == Status.UNKNOWN) {
       return false;
     }
+    steps.record(StartSteps.Step.STORE);
     era.observe(answered == NO_ERA ? era.current() : answered, StoreEra.Source.STORE);
     return answered != NO_ERA && answered < era.current();
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -7,7 +7,6 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.evacuation.Evacuations;
 import io.hickorydrift.core.placement.UnknownRegions;
-import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.ChannelHandler;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -19,7 +18,6 @@
 import io.hickorydrift.proxy.port.PlatformAdapter;
 import io.hickorydrift.proxy.port.PromotionClient;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,8 +46,6 @@
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
-  private static final int MAX_REFUSED_CHANNELS = 16;
-  private static final String TOO_MANY_SESSIONS = "too many sessions; retry in 1000 ms";
   private static final String METRICS_PATH = "/metrics";
   private static final String PLAIN_TEXT = "text/plain";
   private static final int OK = 200;
@@ -59,7 +55,7 @@
   private GatewaySettings settings;
   private final PlatformAdapter platform;
   private final EventLoop loop;
-  private final List<TcpChannel> refusedChannels = new ArrayList<>();
+  private final RefusedConnections refusedConnections = new RefusedConnections();
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
   private final Declarations declarations;
   private final FleetMembership fleet;
@@ -79,6 +75,7 @@
   private final TargetOutcomes outcomes;
   private final Metrics metrics = new Metrics();
   private final StoreEra era = new StoreEra();
+  private final StartSteps steps;
   private final GatewayContext context;
   private Runnable onStopped = () -> {};
   private final List<TcpListener> listeners = new ArrayList<>();
@@ -94,10 +91,11 @@
     this.loop = loop;
     this.settings = settings;
     this.platform = platform;
+    steps = new StartSteps(loop, metrics);
     declarations = new Declarations(loop, usableKeyValidityMs(settings));
     store =
         new EraCheckedStore(
-            new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era);
+            new CountingStore(platform.store(loop, settings.storeAddress()), metrics), era, steps);
     promotionClient = platform.promotionClient(loop, settings.promotionAddress());
     fleet = new FleetMembership(loop, store, settings.id(), settings.fleetEntry());
     Evacuations evacuated = new Evacuations();
@@ -106,7 +104,7 @@
     directory = new Directory(this::onTargetRemoved, evacuated);
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
-    prober = new PrimaryProber(loop, directory, pools, declarations, homes);
+    prober = new PrimaryProber(loop, directory, pools, declarations, homes, steps);
     evacuations.onChange(prober::updateRecoveryEstimators);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
     peers =
@@ -121,7 +119,8 @@
             pools,
             prober,
             homes,
-            era);
+            era,
+            steps);
     homes.start(peers);
     limits =
         new OrganisationRateLimiter(
@@ -139,7 +138,8 @@
             homes,
             settings.id());
     StoreContents contents =
-        new StoreContents(loop, platform, declarations, directory, fleet, evacuations, peers::isUp);
+        new StoreContents(
+            loop, platform, declarations, directory, fleet, evacuations, peers::isUp, steps);
     relay = new RelayService(exchange, declarations, contents::items);
     sync =
         new StoreSync(loop, store, contents, declarations, fleet, peers, relay, era, settings.id());
@@ -175,7 +175,11 @@
             outcomes);
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
-    declarations.setAcceptedListener(accepted -> logUnknownRegions(unknownRegions, accepted));
+    declarations.setAcceptedListener(
+        accepted -> {
+          steps.record(StartSteps.Step.DECLARATION);
+          logUnknownRegions(unknownRegions, accepted);
+        });
     loop.clock()
         .onClockPause(() -> directory.groups().forEach(group -> group.observedPositions().clear()));
   }
@@ -189,6 +193,11 @@
                     "event=region_unknown region={} version={}", region, accepted.version()));
   }
 
+  /** Sets how long the process had run when this instance was created; precedes {@link #start}. */
+  public void setProcessAgeMs(long ageMs) {
+    steps.setProcessAgeMs(ageMs);
+  }
+
   /** Starts the instance; it serves while the event loop runs. */
   public void start() throws IOException {
     Logger.info(
@@ -201,6 +210,7 @@
         settings.metricsListen(),
         channel -> new HttpServerConnection(channel, this::answerMetrics));
     listen(settings.peersListen(), peers::serve);
+    steps.record(StartSteps.Step.LISTENING);
     peers.start(limits, new ForwardedStatementService(context), sync, relay);
     limits.start();
     sync.start();
@@ -264,7 +274,7 @@
         "link_waiting_statements",
         "Statements that wait because too many are outstanding at their home",
         peers::waitingStatements);
-    new SchedulingMetrics(loop, pools).register(metrics);
+    new SchedulingMetrics(loop, pools, steps).register(metrics);
     metrics.registerGauge(
         "ready", "1 if the instance accepts new sessions, else 0", () -> isReady() ? 1 : 0);
   }
@@ -276,9 +286,7 @@
 
   private ChannelHandler acceptSession(TcpChannel channel) {
     if (sessions.size() >= settings.maxSessions()) {
-      context.requestLog().logDecision("-", "decision=refused reason=\"{}\"", TOO_MANY_SESSIONS);
-      refuse(channel);
-      return new RefusedConnection();
+      return refusedConnections.refuse(channel, context);
     }
     CallerSession session = new CallerSession(context, channel, sessions::remove);
     if (refusesSessions()) {
@@ -300,29 +308,6 @@
     return (nowNanos - stoppingNanos) / NANOS_PER_MS > stopGraceMs / 2;
   }
 
-  private void refuse(TcpChannel channel) {
-    refusedChannels.removeIf(TcpChannel::isClosed);
-    if (refusedChannels.size() >= MAX_REFUSED_CHANNELS) {
-      // Telling the reason holds the descriptor for a moment; a flood would use up all of them.
-      channel.close();
-      return;
-    }
-    refusedChannels.add(channel);
-    context.callerCodec().writeFailure(channel.out(), FailureCode.BUSY, TOO_MANY_SESSIONS);
-    channel.closeAfterFlush();
-  }
-
-  /** Ignores what a caller sends on a connection that is being closed. */
-  private static final class RefusedConnection implements ChannelHandler {
-    @Override
-    public void received(ByteBuffer in) {
-      in.position(in.limit());
-    }
-
-    @Override
-    public void closed(String reason) {}
-  }
-
   private void answerReadiness(HttpExchange exchange) {
     if (!exchange.path().equals(platform.readinessPath())) {
       exchange.respond(NOT_FOUND, PLAIN_TEXT, "not found\n");
@@ -347,6 +332,9 @@
     if (halted) {
       return;
     }
+    if (isReady()) {
+      steps.record(StartSteps.Step.READY);
+    }
     long nowNanos = loop.nowNanos();
     evacuations.tick();
     warmUps.tick();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -47,6 +47,7 @@
   private final Map<String, OutboundPeerLink> outboundLinks = new HashMap<>();
   private final HomeRouter homes;
   private final StoreEra era;
+  private final StartSteps steps;
   private final Set<InboundPeerLink> inboundLinks = new LinkedHashSet<>();
   private boolean closed;
   private long eraSinceNanos;
@@ -66,7 +67,9 @@
       TargetPools pools,
       PrimaryProber prober,
       HomeRouter homes,
-      StoreEra era) {
+      StoreEra era,
+      StartSteps steps) {
+    this.steps = steps;
     this.loop = loop;
     this.traffic = traffic;
     this.self = self;
@@ -324,8 +327,10 @@
 
   @Override
   public void onPong(OutboundPeerLink link, PeerMessage.Pong pong, long pingNanos) {
+    steps.record(StartSteps.Step.LINK);
     for (PeerMessage.PrimaryStatus status : pong.groups()) {
       if (status.position() != null) {
+        steps.record(StartSteps.Step.PRIMARY);
         directory
             .group(status.group())
             .observedPositions()
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PredictedWaits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PredictedWaits.java
@@ -89,6 +89,11 @@
     }
   }
 
+  /** Records that the target has run a statement. */
+  void onAnswered() {
+    observer.answered();
+  }
+
   /** Records that {@code waiter} has left the queue with a connection. */
   void onServed(ConnectionWaiters.Waiter waiter) {
     if (!waiters.isFair() || !waiter.forStatement()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
@@ -39,6 +39,7 @@
   private final TargetPools pools;
   private final Declarations declarations;
   private final HomeRouter homes;
+  private final StartSteps steps;
   private final Map<TargetState, Reachability> reachabilityByTarget = new HashMap<>();
 
   PrimaryProber(
@@ -46,7 +47,9 @@
       Directory directory,
       TargetPools pools,
       Declarations declarations,
-      HomeRouter homes) {
+      HomeRouter homes,
+      StartSteps steps) {
+    this.steps = steps;
     this.homes = homes;
     this.loop = loop;
     this.directory = directory;
@@ -165,6 +168,7 @@
           if (reply.ok()) {
             if (reply.position() != null) {
               group.observedPositions().add(reply.position(), reply.sentNanos());
+              steps.record(StartSteps.Step.PRIMARY);
             }
             connection.run(
                 new TargetCommand.Rollback(),
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
@@ -4,24 +4,34 @@
 import io.hickorydrift.proxy.net.EventLoop;
 
 /**
- * Figures of the targets of groups with urgent work.
+ * Figures of the statements that targets run, and of the targets of groups with urgent work.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
 final class SchedulingMetrics {
   private final EventLoop loop;
   private final TargetPools pools;
+  private final StartSteps steps;
 
-  SchedulingMetrics(EventLoop loop, TargetPools pools) {
+  SchedulingMetrics(EventLoop loop, TargetPools pools, StartSteps steps) {
+    this.steps = steps;
     this.loop = loop;
     this.pools = pools;
   }
 
   void register(Metrics metrics) {
     pools.observeWaits(
-        (priority, waitedNanos, predictedNanos) -> {
-          metrics.recordWait(priority, waitedNanos);
-          metrics.recordPredictionError(predictedNanos - waitedNanos);
+        new WaitObserver() {
+          @Override
+          public void served(int priority, long waitedNanos, long predictedNanos) {
+            metrics.recordWait(priority, waitedNanos);
+            metrics.recordPredictionError(predictedNanos - waitedNanos);
+          }
+
+          @Override
+          public void answered() {
+            steps.record(StartSteps.Step.SERVING);
+          }
         });
     metrics.registerTargetGauge(
         "waiting_requests",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -41,6 +41,7 @@
   private final Map<String, Item> items = new TreeMap<>();
   private final DelayedRemovals removals;
   private final Predicate<String> reachable;
+  private final StartSteps steps;
   private Item unreadableDeclaration;
   private long lastFailureNanos;
   private boolean loaded;
@@ -54,7 +55,9 @@
       Directory directory,
       FleetMembership fleet,
       EvacuationService evacuations,
-      Predicate<String> reachable) {
+      Predicate<String> reachable,
+      StartSteps steps) {
+    this.steps = steps;
     this.loop = loop;
     this.platform = platform;
     this.declarations = declarations;
@@ -114,6 +117,8 @@
    */
   void applySnapshot(List<Item> snapshot, StorePosition position) {
     fleet.applyTogether(() -> replaceAll(snapshot, position));
+    steps.record(StartSteps.Step.FLEET);
+    steps.record(StartSteps.Step.ENTRIES);
   }
 
   private void replaceAll(List<Item> snapshot, StorePosition position) {
@@ -162,6 +167,10 @@
   /** Applies items of {@code itemsEra} that were read or received together. */
   void applyAll(List<Item> changed, long itemsEra) {
     fleet.applyTogether(() -> changed.forEach(item -> apply(item, itemsEra)));
+    if (!changed.isEmpty()) {
+      // The first items that are read are the entries of the members.
+      steps.record(StartSteps.Step.FLEET);
+    }
   }
 
   /** Applies one item of {@code itemEra}. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -58,7 +58,7 @@
                 target,
                 () -> budget(target),
                 () -> declarations.isUrgent(target.entry().group()),
-                (priority, waited, predicted) -> observer.served(priority, waited, predicted)));
+                observer));
   }
 
   /**
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WindowedDispatch.java
@@ -104,7 +104,10 @@
   void recordAnswer(TargetConnection connection, boolean busy, long nanos) {
     if (busy) {
       window.recordBusy();
-    } else if (places.contains(connection)) {
+      return;
+    }
+    waits.onAnswered();
+    if (places.contains(connection)) {
       window.recordAnswer(nanos);
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -207,13 +207,18 @@
   /** Registers a gauge with one value for each target, whose id is the label. */
   public void registerTargetGauge(
       String name, String help, Supplier<Map<String, Double>> valuesByTarget) {
+    registerLabelledGauge(name, help, "target", valuesByTarget);
+  }
+
+  /** Registers a gauge with one value for each value of {@code label}. */
+  public void registerLabelledGauge(
+      String name, String help, String label, Supplier<Map<String, Double>> valuesByLabel) {
     GaugeWithCallback.builder()
         .name("hickorydrift_" + name)
         .help(help)
-        .labelNames("target")
+        .labelNames(label)
         .callback(
-            callback ->
-                valuesByTarget.get().forEach((target, value) -> callback.call(value, target)))
+            callback -> valuesByLabel.get().forEach((key, value) -> callback.call(value, key)))
         .register(registry);
   }
 
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/EraCheckedStoreTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/EraCheckedStoreTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hickorydrift.proxy.metrics.Metrics;
+import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.KeyValueStore;
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import io.hickorydrift.proxy.port.KeyValueStore.UpdateResult;
@@ -14,7 +16,8 @@
 class EraCheckedStoreTest {
   private final RecordingStore calls = new RecordingStore();
   private final StoreEra era = new StoreEra();
-  private final EraCheckedStore store = new EraCheckedStore(calls, era);
+  private final EraCheckedStore store =
+      new EraCheckedStore(calls, era, new StartSteps(new EventLoop(), new Metrics()));
   private final List<String> events = new ArrayList<>();
 
   @BeforeEach
