Let a target that answers again relieve loaded targets; keep its return

Cause of flappingTargetServesAsManyAsBeforeIfTheOthersAreFull: while the flapping target was up but passed over, the queues of the others were full, so that every read beyond their capacity was lost as soon as it went down. While every other target is loaded, a target that is passed over now competes for reads once its last 3 statements succeeded, unless it answers more slowly than all others. One failure ends that.

The successes from before had left the 2 s, and one old failure was a fifth of the rest. A target that returns is now passed over again only if a statement has failed since. Many successes from before keep its share low, so 4 failures in a row suffice then, and it does not start to return on a failure.

OutlierEjection.update runs on the tick (50 ms) only, no longer at each read, and so not for groups without outcomes. ReadReplay evaluates at the same interval; TargetHealthTest evaluates before each choice. Saved reads keep the probe interval when reads arrive unevenly.

--- a/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/ReadPlacement.java
@@ -51,6 +51,11 @@
     default boolean mayProbe(TargetState target) {
       return hasIdle(target);
     }
+
+    /** Returns whether a read would have to wait for other statements at {@code target}. */
+    default boolean wouldWait(TargetState target) {
+      return target.outstanding() >= target.entry().slots();
+    }
   }
 
   private final String ownDomain;
@@ -65,8 +70,9 @@
   /**
    * Returns the target with the lowest cost, that is, the least expected wait, or null if there is
    * none. Skips draining and ruled out targets, those in {@code tried}, and those that {@code
-   * mayRun} rejects. A target whose statements fail gets fewer reads ({@link TargetHealth}). The
-   * target itself checks that it has applied {@code atLeast}.
+   * mayRun} rejects. A target whose statements fail gets fewer reads ({@link TargetHealth}), as
+   * {@link OutlierEjection} last decided; while all others are loaded, it gets reads as soon as its
+   * last statements succeeded. The target itself checks that it has applied {@code atLeast}.
    */
   public TargetState choose(
       GroupState group,
@@ -76,7 +82,6 @@
       Predicate<TargetState> mayRun,
       Connections connections,
       long nowNanos) {
-    OutlierEjection.update(group, nowNanos);
     List<TargetState> able = new ArrayList<>();
     for (TargetState target : group.targets()) {
       boolean untried = !tried.contains(target.entry().id());
@@ -95,6 +100,9 @@
         return probed;
       }
     }
+    if (candidates.size() < able.size() && candidates.stream().allMatch(connections::wouldWait)) {
+      addRelief(candidates, able);
+    }
     TargetState primary = group.primary();
     TargetState preferred = preferredReplica(group, primary, organisation, mayRun);
     double otherRegionCost = otherRegionCost(group);
@@ -111,6 +119,26 @@
     return best;
   }
 
+  /**
+   * Adds the targets that are passed over but whose last statements succeeded, as quickly as at the
+   * slowest of {@code candidates}. Load pattern: the other targets cannot run all reads, and a
+   * target that goes down and up fills their queues while it is up and gets no reads.
+   */
+  private static void addRelief(List<TargetState> candidates, List<TargetState> able) {
+    double slowestNanos = 0;
+    for (TargetState target : candidates) {
+      slowestNanos = Math.max(slowestNanos, target.health().averageAnswerNanos());
+    }
+    for (TargetState target : able) {
+      TargetHealth health = target.health();
+      if (health.isPassedOver()
+          && health.mayRelieveOthers()
+          && health.averageAnswerNanos() <= slowestNanos) {
+        candidates.add(target);
+      }
+    }
+  }
+
   private static TargetState probe(
       List<TargetState> targets, Connections connections, long nowNanos) {
     for (TargetState target : targets) {
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetHealth.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetHealth.java
@@ -47,6 +47,8 @@
 
   // Fewer outcomes would let one lost answer decide.
   private static final int MIN_OUTCOMES = 4;
+  // A target that fails 40 % of its statements seldom (0.22) runs three in a row.
+  private static final int MIN_SUCCESSES_UNDER_LOAD = 3;
   private static final long SLICE_NANOS = 250_000_000L;
   // 2 s: long enough for 8 probes, and a target that works again has all reads within 3 s.
   private static final int SLICES = 8;
@@ -54,6 +56,8 @@
   private static final long PROBE_INTERVAL_NANOS = 250_000_000L;
   // With few reads, probes get the part of the first step of a return, so that most reads are safe.
   private static final int READS_PER_PROBE = 4;
+  // Two probes: reads that arrive unevenly do not delay a probe beyond its interval.
+  private static final int MAX_READS_SAVED = 2 * READS_PER_PROBE;
   private static final double[] RETURN_STEPS = {0.25, 0.5};
   // Two probe intervals, so that each step rests on outcomes.
   private static final long STEP_NANOS = 500_000_000L;
@@ -72,8 +76,12 @@
   private boolean failed;
   private long lastFailureNanos;
   private long lastProbeNanos;
-  private int readsSinceProbe;
+  private int readsSaved;
   private int outcomesSincePassedOver;
+  private int successesInRow;
+  private int failuresInRow;
+  private long firstSuccessNanos;
+  private boolean failsInReturn;
   private int step;
   private long stepNanos;
   private double credit;
@@ -87,6 +95,8 @@
   /** Records the outcome of a statement, known at {@code nanos}. */
   public void record(Outcome outcome, long nanos) {
     outcomesSincePassedOver++;
+    failsInReturn |= outcome.failures > 0;
+    updateRuns(outcome, nanos);
     int slice = sliceOf(nanos);
     long number = Math.floorDiv(nanos, SLICE_NANOS);
     if (sliceNumbers[slice] > number) {
@@ -105,6 +115,19 @@
     }
   }
 
+  private void updateRuns(Outcome outcome, long nanos) {
+    if (outcome == Outcome.SUCCESS) {
+      firstSuccessNanos = successesInRow == 0 ? nanos : firstSuccessNanos;
+      successesInRow++;
+      failuresInRow = 0;
+    } else if (outcome != Outcome.REFUSAL
+        && (successesInRow == 0 || nanos - firstSuccessNanos >= 0)) {
+      // A statement that was sent before the first success and lost says nothing about the others.
+      successesInRow = 0;
+      failuresInRow++;
+    }
+  }
+
   /** Records that a statement succeeded {@code answerNanos} after it was sent. */
   public void recordSuccess(long answerNanos, long nowNanos) {
     updateAverage(answerNanos);
@@ -118,6 +141,7 @@
   public void recordLateSuccess(long missedNanos, long answerNanos) {
     updateAverage(answerNanos);
     outcomesSincePassedOver++;
+    failuresInRow = 0;
     int slice = sliceOf(missedNanos);
     if (sliceNumbers[slice] == Math.floorDiv(missedNanos, SLICE_NANOS)) {
       failures[slice] -= Outcome.NO_ANSWER.failures;
@@ -163,14 +187,20 @@
 
   /**
    * Returns whether the outcomes speak for passing the target over. One that is passed over stays
-   * so until there are enough outcomes of probes, so that it does not return only because no read
-   * went there.
+   * so until there are enough outcomes of probes and the last one was a success, so that it does
+   * not return only because no read went there. One that returns is passed over again only if a
+   * statement failed since, and not because older successes have left the window. Enough failures
+   * in a row suffice then, since many successes from before would keep its failure share low.
    */
   boolean isFailing(long nowNanos) {
+    boolean highShare = failureShare(nowNanos) >= EJECTION_SHARE;
     if (isPassedOver()) {
-      return outcomesSincePassedOver < MIN_OUTCOMES || failureShare(nowNanos) >= EJECTION_SHARE;
+      return outcomesSincePassedOver < MIN_OUTCOMES || highShare || failuresInRow > 0;
+    }
+    if (state == State.RETURNING) {
+      return failsInReturn && (highShare || failuresInRow >= MIN_OUTCOMES);
     }
-    return outcomes(nowNanos) >= MIN_OUTCOMES && failureShare(nowNanos) >= EJECTION_SHARE;
+    return outcomes(nowNanos) >= MIN_OUTCOMES && highShare;
   }
 
   /** Applies the decision whether the target is passed over. */
@@ -179,11 +209,13 @@
       if (!isPassedOver()) {
         state = State.PASSED_OVER;
         lastProbeNanos = nowNanos;
-        readsSinceProbe = 0;
+        readsSaved = 0;
         outcomesSincePassedOver = 0;
+        successesInRow = 0;
       }
     } else if (isPassedOver()) {
       state = State.RETURNING;
+      failsInReturn = false;
       step = 0;
       stepNanos = nowNanos;
       credit = 0;
@@ -215,15 +247,23 @@
     return state == State.PASSED_OVER || state == State.PROBING;
   }
 
+  /**
+   * Returns whether the last statements at the target, which is passed over, succeeded, so that it
+   * may run reads that would have to wait everywhere else.
+   */
+  boolean mayRelieveOthers() {
+    return successesInRow >= MIN_SUCCESSES_UNDER_LOAD;
+  }
+
   /** Returns whether the next read of the group probes the target, which is passed over. */
   boolean takesNextReadAsProbe(long nowNanos) {
-    readsSinceProbe++;
-    if (readsSinceProbe < READS_PER_PROBE || nowNanos - lastProbeNanos < PROBE_INTERVAL_NANOS) {
+    readsSaved = Math.min(MAX_READS_SAVED, readsSaved + 1);
+    if (readsSaved < READS_PER_PROBE || nowNanos - lastProbeNanos < PROBE_INTERVAL_NANOS) {
       return false;
     }
     state = State.PROBING;
     lastProbeNanos = nowNanos;
-    readsSinceProbe = 0;
+    readsSaved -= READS_PER_PROBE;
     return true;
   }
 
--- a/core/src/test/java/io/hickorydrift/core/directory/ReadReplay.java
+++ b/core/src/test/java/io/hickorydrift/core/directory/ReadReplay.java
@@ -28,6 +28,8 @@
   private static final long TIMEOUT_MS = 1_000;
   // The shortest objective of a read in the specified deployments.
   private static final long OBJECTIVE_MS = 201;
+  // The interval at which the gateway evaluates the outcomes.
+  private static final long TICK_MS = 50;
   private static final Position POSITION = new Position(1, 1);
 
   /** How a target treats a statement. */
@@ -150,6 +152,9 @@
       reads.add(read);
       at((long) (atMs * MS), () -> start(read));
     }
+    for (long tickMs = 0; tickMs < endMs; tickMs += TICK_MS) {
+      at(tickMs * MS, () -> OutlierEjection.update(directory.group("g"), nowNanos));
+    }
     while (!events.isEmpty()) {
       Event next = events.poll();
       nowNanos = next.nanos();
--- a/core/src/test/java/io/hickorydrift/core/directory/TargetHealthTest.java
+++ b/core/src/test/java/io/hickorydrift/core/directory/TargetHealthTest.java
@@ -49,7 +49,9 @@
     return choose(Set.of(), ms);
   }
 
+  /** Chooses a target after an evaluation of the outcomes, which the gateway makes on its tick. */
   private TargetState choose(Set<String> tried, long ms) {
+    update(ms);
     return placement.choose(
         directory.group("g"), "red", POSITION, tried, any -> true, any -> true, ms * MS);
   }
@@ -163,6 +165,136 @@
     assertThat(bad.health().state()).isEqualTo(State.RETURNING);
   }
 
+  /** Guards against probes that are late because a few reads arrived close together. */
+  @Test
+  void unevenReadsProbeInEachQuarterSecond() {
+    TargetState bad = add("bad", false);
+    add("good", false);
+    record(bad, Outcome.NO_ANSWER, 4, 0);
+    update(0);
+    for (int i = 0; i < 8; i++) {
+      assertThat(choose(200)).isNotSameAs(bad);
+    }
+    assertThat(choose(250)).isSameAs(bad);
+    assertThat(choose(500)).isSameAs(bad);
+    assertThat(choose(750)).isNotSameAs(bad);
+  }
+
+  /** Guards against a target that returns while it fails, because it succeeded often before. */
+  @Test
+  void targetWhoseLastStatementFailedStaysPassedOver() {
+    TargetState bad = add("bad", false);
+    add("good", false);
+    record(bad, Outcome.NO_ANSWER, 4, 0);
+    update(0);
+    record(bad, Outcome.SUCCESS, 100, 300);
+    record(bad, Outcome.NO_ANSWER, 1, 400);
+    update(400);
+    assertThat(bad.health().isPassedOver()).isTrue();
+    record(bad, Outcome.SUCCESS, 1, 500);
+    update(500);
+    assertThat(bad.health().state()).isEqualTo(State.RETURNING);
+  }
+
+  /** Guards against a target that gets all reads because it was avoided while it failed. */
+  @Test
+  void targetThatFailsFourTimesInReturnIsPassedOver() {
+    TargetState bad = add("bad", false);
+    add("good", false);
+    record(bad, Outcome.NO_ANSWER, 4, 0);
+    update(0);
+    record(bad, Outcome.SUCCESS, 100, 300);
+    update(300);
+    record(bad, Outcome.NO_ANSWER, 3, 400);
+    update(400);
+    assertThat(bad.health().state()).isEqualTo(State.RETURNING);
+    record(bad, Outcome.NO_ANSWER, 1, 450);
+    update(450);
+    assertThat(bad.health().state()).isEqualTo(State.PASSED_OVER);
+  }
+
+  /** Guards against a return that is broken off although no statement failed in it. */
+  @Test
+  void targetWhoseOldSuccessesLeaveTheWindowKeepsReturning() {
+    TargetState bad = add("bad", false);
+    add("good", false);
+    record(bad, Outcome.SUCCESS, 10, -1_500);
+    record(bad, Outcome.NO_ANSWER, 3, 0);
+    update(0);
+    record(bad, Outcome.SUCCESS, 4, 100);
+    update(240);
+    assertThat(bad.health().state()).isEqualTo(State.RETURNING);
+    update(600);
+    assertThat(bad.health().state()).isEqualTo(State.RETURNING);
+    record(bad, Outcome.FAILURE, 1, 650);
+    update(650);
+    assertThat(bad.health().state()).isEqualTo(State.PASSED_OVER);
+  }
+
+  /** Guards against capacity that is lost while the other targets cannot run all reads. */
+  @Test
+  void targetThatIsPassedOverRelievesLoadedTargetsAfterThreeSuccesses() {
+    TargetState bad = add("bad", false);
+    final TargetState good = add("good", false);
+    record(bad, Outcome.NO_ANSWER, 40, 0);
+    good.health().recordSuccess(20 * MS, 0);
+    update(0);
+    for (int i = 0; i < 8; i++) {
+      good.recordSent();
+    }
+    bad.health().recordSuccess(10 * MS, 50 * MS);
+    bad.health().recordSuccess(10 * MS, 60 * MS);
+    assertThat(readsOf(bad, 100)).isZero();
+    bad.health().recordSuccess(10 * MS, 70 * MS);
+    assertThat(bad.health().isPassedOver()).isTrue();
+    assertThat(readsOf(bad, 100)).isPositive();
+    record(bad, Outcome.NO_ANSWER, 1, 110);
+    assertThat(readsOf(bad, 120)).isZero();
+  }
+
+  /** Guards against reads that a target with free slots could run and that are risked elsewhere. */
+  @Test
+  void targetThatIsPassedOverRelievesNoTargetWithFreeSlots() {
+    TargetState bad = add("bad", false);
+    final TargetState good = add("good", false);
+    record(bad, Outcome.NO_ANSWER, 40, 0);
+    good.health().recordSuccess(20 * MS, 0);
+    update(0);
+    for (int i = 0; i < 3; i++) {
+      good.recordSent();
+      bad.health().recordSuccess(10 * MS, 50 * MS);
+    }
+    assertThat(readsOf(bad, 100)).isZero();
+  }
+
+  /** Guards against reads that wait longer at a slow target than at those that are loaded. */
+  @Test
+  void targetThatAnswersMoreSlowlyDoesNotRelieveOthers() {
+    TargetState slow = add("slow", false);
+    final TargetState good = add("good", false);
+    record(slow, Outcome.NO_ANSWER, 40, 0);
+    good.health().recordSuccess(20 * MS, 0);
+    update(0);
+    for (int i = 0; i < 8; i++) {
+      good.recordSent();
+      slow.health().recordSuccess(50 * MS, 50 * MS);
+    }
+    assertThat(readsOf(slow, 100)).isZero();
+  }
+
+  /** Guards against the cost of an evaluation at each read. */
+  @Test
+  void readsDoNotEvaluateOutcomes() {
+    TargetState bad = add("bad", false);
+    add("good", false);
+    record(bad, Outcome.NO_ANSWER, 4, 0);
+    placement.choose(
+        directory.group("g"), "red", POSITION, Set.of(), any -> true, any -> true, 10 * MS);
+    assertThat(bad.health().state()).isEqualTo(State.HEALTHY);
+    update(10);
+    assertThat(bad.health().state()).isEqualTo(State.PASSED_OVER);
+  }
+
   /** Guards against a probe that waits behind statements that get no answer. */
   @Test
   void targetWithoutFreeConnectionIsNotProbed() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -106,6 +106,12 @@
       public boolean mayProbe(TargetState target) {
         return repeatable && poolFor(target).isFree(organisation);
       }
+
+      @Override
+      public boolean wouldWait(TargetState target) {
+        return target.outstanding() >= target.entry().slots()
+            || !poolFor(target).dispatch().hasRoom();
+      }
     };
   }
 
