Give refused callers turns at the rate at which the target serves

Cause, by the log of GatewayReconnectionTest: of 1,000 callers of a restarted home, 871 are told to return in the same 100 ms. They are refused on arrival (predicted_wait_ms=252 waiting=125 retry_ms=145), not after the hold time; the delay is spread by a hash of the statement's id only, and the sessions of the callers number their statements alike. The fixed delay of 100 ms after the hold time is a second such fault.

RefusedReturns schedules the returns: the k-th caller that has not returned gets a turn after k measured intervals between two services, behind callers of its own or a higher priority, up to half of the statement timeout and 2 s. Callers without a turn are spread evenly over the second half of the timeout. Groups without urgent work keep their delays.

Ruled out: all delays within half of the timeout, as the specification says. With 800 ms that leaves 145 to 400 ms for 871 callers that are refused within a few milliseconds, 342 in 100 ms (computed); the required bound is 200. A hash alone, because ids repeat.

Conclusion: the returns of one home's callers are spread; the schedule is that of one target at one instance, not of the fleet.

--- a/core/src/main/java/io/hickorydrift/core/scheduling/WaitPrediction.java
+++ b/core/src/main/java/io/hickorydrift/core/scheduling/WaitPrediction.java
@@ -31,6 +31,11 @@
     lastServedNanos = nowNanos;
   }
 
+  /** Returns the average time between two services while others waited; 0 if not known. */
+  public long intervalNanos() {
+    return (long) intervalNanos;
+  }
+
   /**
    * Returns the predicted wait behind {@code ahead} other requests; 0 if nothing is known. While a
    * target serves nothing, the time since the last service counts as the interval.
--- a/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
+++ b/core/src/test/java/io/hickorydrift/core/scheduling/ReplayedPool.java
@@ -4,7 +4,6 @@
 import io.hickorydrift.core.connection.ConnectionEvictor;
 import io.hickorydrift.core.connection.EvictionPolicy;
 import io.hickorydrift.core.connection.OpeningPolicy;
-import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.scheduling.ReplayedRequest.Result;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,7 +23,6 @@
   private static final long TICK_NANOS = 50_000_000L;
   private static final long BACKOFF_NANOS = 15_000_000L;
   private static final int MAX_OPENING = 2;
-  private static final long TIMEOUT_NANOS = 1_500_000_000L;
 
   private static final class Connection {
     private final String organisation;
@@ -50,8 +48,7 @@
   private final ArrayDeque<Connection> gated = new ArrayDeque<>();
   final StatementWindow window;
   Consumer<ReplayedRequest> onEnd = request -> {};
-  private final WaitPrediction prediction = new WaitPrediction();
-  private final RecoveryPhase recovery = new RecoveryPhase();
+  private final ReplayedRefusals refusals;
 
   ReplayedPool(ReplayedClock clock, ReplayedTarget target, int budget, boolean scheduled) {
     this.clock = clock;
@@ -60,6 +57,7 @@
     this.scheduled = scheduled;
     queue = scheduled ? new FairWaitQueue<>() : new PriorityWaitQueue<>();
     window = new StatementWindow(target.slots);
+    refusals = new ReplayedRefusals(clock);
     clock.after(TICK_NANOS, this::tick);
   }
 
@@ -80,9 +78,7 @@
             request.objectiveNanos,
             request.arrivalNanos + MAX_WAIT_NANOS,
             request.serviceNanos[0]);
-    long retryAfterMs = refusesAtOnce(request, waiting);
-    if (retryAfterMs != ImmediateRefusal.WAIT) {
-      request.retryNanos = retryAfterMs * Replay.MS;
+    if (refusesAtOnce(request, waiting)) {
       end(request, Result.REFUSED);
       return;
     }
@@ -96,27 +92,13 @@
         && (idleOf(request.organisation) != null || connections.size() < budget);
   }
 
-  private long refusesAtOnce(ReplayedRequest request, WaitingRequest waiting) {
+  private boolean refusesAtOnce(ReplayedRequest request, WaitingRequest waiting) {
     if (!scheduled || isFree(request)) {
-      return ImmediateRefusal.WAIT;
-    }
-    recovery.recordWaiting(clock.nowNanos());
-    if (recovery.isActive(clock.nowNanos())) {
-      return ImmediateRefusal.WAIT;
+      return false;
     }
     boolean queued = queue.count(w -> w.request.priority() <= waiting.priority()) > 0;
-    return ImmediateRefusal.retryAfterMs(
-        waiting,
-        prediction.waitNanos(queue.countBefore(waiting, clock.nowNanos()), clock.nowNanos()),
-        TIMEOUT_NANOS,
-        queued,
-        Rendezvous.unitHash(String.valueOf(request.arrivalNanos), "retry"),
-        clock.nowNanos());
-  }
-
-  private void recordServed() {
-    prediction.recordServed(!queue.isEmpty(), clock.nowNanos());
-    recovery.recordServed(!queue.isEmpty(), clock.nowNanos());
+    int ahead = queue.countBefore(waiting, clock.nowNanos());
+    return refusals.refuses(request, waiting, ahead, queued);
   }
 
   private boolean hasRoomFor(String organisation) {
@@ -182,7 +164,7 @@
     boolean lacking = false;
     Set<String> unserved = new HashSet<>();
     List<Waiter> ordered =
-        recovery.serviceOrder(
+        refusals.recovery.serviceOrder(
             queue.items(clock.nowNanos()),
             waiter -> idleOf(waiter.request.organisation()) != null,
             clock.nowNanos());
@@ -195,7 +177,7 @@
       if (own != null) {
         queue.poll(waiter -> waiter == next, clock.nowNanos());
         idle.remove(own);
-        recordServed();
+        refusals.recordServed(!queue.isEmpty());
         begin(own, next.replayed);
       } else if (unserved.add(organisation) && openingCount() < MAX_OPENING) {
         lacking |= !openFor(next);
@@ -266,7 +248,7 @@
     } else if (!ran) {
       release(connection);
       if (clock.nowNanos() - request.arrivalNanos > MAX_WAIT_NANOS) {
-        end(request, Result.REFUSED);
+        refuseAfterWait(request);
       } else {
         clock.after(BACKOFF_NANOS, () -> start(request));
       }
@@ -286,6 +268,13 @@
     }
   }
 
+  private void refuseAfterWait(ReplayedRequest request) {
+    if (scheduled) {
+      refusals.waitedInVain(request);
+    }
+    end(request, Result.REFUSED);
+  }
+
   private void end(ReplayedRequest request, Result result) {
     request.result = result;
     request.endNanos = clock.nowNanos();
@@ -319,7 +308,7 @@
             waiter -> waiter.request.organisation().equals(connection.organisation),
             clock.nowNanos());
     if (next != null) {
-      recordServed();
+      refusals.recordServed(!queue.isEmpty());
       begin(connection, next.replayed);
       return;
     }
@@ -409,7 +398,7 @@
 
   private void tick() {
     for (Waiter late : queue.removeExpired(clock.nowNanos())) {
-      end(late.replayed, Result.REFUSED);
+      refuseAfterWait(late.replayed);
     }
     serveWaiting();
     clock.after(TICK_NANOS, this::tick);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PredictedWaits.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PredictedWaits.java
@@ -1,8 +1,10 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.scheduling.ImmediateRefusal;
 import io.hickorydrift.core.scheduling.RecoveryPhase;
+import io.hickorydrift.core.scheduling.RefusedReturns;
 import io.hickorydrift.core.scheduling.StatementWindow;
 import io.hickorydrift.core.scheduling.WaitPrediction;
 import io.hickorydrift.core.scheduling.WaitingRequest;
@@ -13,7 +15,8 @@
 import org.tinylog.Logger;
 
 /**
- * Predicts the waits of statements for one target and compares them with the actual ones.
+ * Predicts the waits of statements for one target and compares them with the actual ones. Spreads
+ * the returns of the callers that are refused.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -25,6 +28,7 @@
   private final TargetState target;
   private final WaitPrediction prediction = new WaitPrediction();
   private final RecoveryPhase recovery = new RecoveryPhase();
+  private final RefusedReturns returns = new RefusedReturns();
   private boolean recovering;
 
   PredictedWaits(
@@ -68,6 +72,23 @@
             retryAfterMs);
   }
 
+  /**
+   * Returns the delay that a refused caller is told, and counts the caller. Without urgent work in
+   * the group, it is {@code minDelayMs}.
+   */
+  long returnDelayMs(Route route, long minDelayMs, double unitHash) {
+    if (!waiters.isFair()) {
+      return minDelayMs;
+    }
+    return returns.delayMs(
+        route.priority(),
+        minDelayMs,
+        route.statementTimeoutMs(),
+        prediction.intervalNanos(),
+        unitHash,
+        loop.nowNanos());
+  }
+
   /** Returns whether the target works through the requests that an outage has left. */
   boolean isRecovering() {
     return recovery.isActive(loop.nowNanos());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SchedulingMetrics.java
@@ -30,7 +30,7 @@
     metrics.registerTargetGauge(
         "target_recovering",
         "Whether the target works through the requests that an outage has left (1)",
-        () -> pools.figures(pool -> pool.isRecovering() ? 1 : 0));
+        () -> pools.figures(pool -> pool.waits().isRecovering() ? 1 : 0));
     metrics.registerTargetGauge(
         "statement_window",
         "Maximum number of statements in flight at the target",
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -83,9 +83,9 @@
     return dispatch;
   }
 
-  /** Returns whether the target works through the requests that an outage has left. */
-  boolean isRecovering() {
-    return predicted.isRecovering();
+  /** Returns the predicted waits, from which the delays of refused callers follow. */
+  PredictedWaits waits() {
+    return predicted;
   }
 
   /** Returns the number of requests that wait for a connection. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetSearch.java
@@ -7,7 +7,6 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.AllowedRegions;
-import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.scheduling.WaitingRequest;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -59,7 +58,6 @@
   private static final long COLD_RETRY_MS = 1_000;
   private static final String NOTHING_TRIED = "no target can run the statement";
   private static final String WAIT_TOO_LONG = "the wait for a slot would be too long";
-  private static final String RETRY_HASH = "retry";
   private static final long BACKOFF_BASE_MS = 15;
   private static final long MAX_BACKOFF_MS = 120;
   // Covers the time from the arrival of a statement's first byte until this instance reads it.
@@ -81,7 +79,7 @@
   private int backoffs;
   private boolean heldBackByCold;
   private boolean countedAsDelayed;
-  private long retryAfterMs = HoldPolicy.HOLD;
+  private final SearchRefusals refusals;
   // The request that waits for a connection, and the timer of a backoff; at most one is set.
   private AcquireListener waiting;
   private TargetPool waitingAt;
@@ -107,6 +105,7 @@
     long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
     deadlineNanos = receivedNanos + timeoutNanos;
     hold = new HoldPolicy(route.statementTimeoutMs());
+    refusals = new SearchRefusals(route, statementId);
   }
 
   /** Tries the next target. */
@@ -297,7 +296,7 @@
     waitingAt.acquire(
         waitingRequest(target),
         TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs()),
-        Rendezvous.unitHash(statementId, RETRY_HASH),
+        refusals.unitHash(),
         waiting);
   }
 
@@ -313,10 +312,7 @@
             refusal.waiting(),
             refusal.window(),
             refusal.retryAfterMs());
-    retryAfterMs =
-        retryAfterMs == HoldPolicy.HOLD
-            ? refusal.retryAfterMs()
-            : Math.min(retryAfterMs, refusal.retryAfterMs());
+    refusals.add(context.pool(target), refusal.retryAfterMs());
     attemptFailed(WAIT_TOO_LONG);
   }
 
@@ -349,15 +345,16 @@
 
   /** Tries all targets again after a backoff, or ends the search if that is hopeless. */
   private void backOff() {
-    if (retryAfterMs != HoldPolicy.HOLD) {
-      listener.exhausted(WAIT_TOO_LONG + "; retry in " + retryAfterMs + " ms");
+    if (refusals.hasAny()) {
+      listener.exhausted(WAIT_TOO_LONG + "; retry in " + refusals.retryAfterMs() + " ms");
       return;
     }
     long nowNanos = context.loop().nowNanos();
     GroupState group = context.directory().group(route.group());
+    boolean usable = hasUsableTarget(group);
     long refuseAfterMs =
         hold.refuseAfterMs(
-            hasUsableTarget(group),
+            usable,
             group.recoveryEstimator().expectedRecoveryAfterFailureMs(nowNanos),
             TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos));
     if (heldBackByCold) {
@@ -368,7 +365,8 @@
       return;
     }
     if (refuseAfterMs != HoldPolicy.HOLD) {
-      refuse(group, lastFailureReason + "; retry in " + refuseAfterMs + " ms");
+      long retryMs = usable ? refusals.retryAfterMs(waitingAt, refuseAfterMs) : refuseAfterMs;
+      refuse(group, lastFailureReason + "; retry in " + retryMs + " ms");
       return;
     }
     backoff =
