End the turns of refused callers at 0.45 of their timeout

The unit test allowed 210 of a thousand callers in any 100 ms, where the specification says a fifth. With turns until half of the timeout, 202 fell into 100 ms at a timeout of 800 ms.

Ruled out: only the callers without a turn from 0.45 on, which overlap with the turns (203).

--- a/core/src/main/java/io/hickorydrift/core/scheduling/RefusedReturns.java
+++ b/core/src/main/java/io/hickorydrift/core/scheduling/RefusedReturns.java
@@ -11,9 +11,9 @@
  * delay, so that they return together and are refused again.
  *
  * <p>Callers of a priority are scheduled behind those of the same or a higher one, which are served
- * before them. A caller has no turn if it would come after half of its statement timeout. Such
- * callers are told delays that are spread evenly over the second half of the timeout: the same
- * delay for all of them would be a second wave.
+ * before them. A caller has no turn if it would come after 0.45 of its statement timeout. Such
+ * callers are told delays that are spread evenly over the rest of the timeout: the same delay for
+ * all of them would be a second wave.
  *
  * <p>Invariant: a delay is never below the minimum that the caller of this class gives. It is at
  * most {@link #MAX_RETRY_MS} and at most the statement timeout, unless that minimum is longer.
@@ -23,8 +23,9 @@
   /** Longest delay in milliseconds: few callers still need an answer after it. */
   public static final long MAX_RETRY_MS = 2_000;
 
-  // Leaves a new attempt the other half.
-  private static final double MAX_TIMEOUT_SHARE_OF_TURN = 0.5;
+  // Leaves a new attempt more than half. With half, those without a turn would have half of the
+  // timeout: of a thousand with 800 ms, more than a fifth would return within 100 ms.
+  private static final double MAX_TIMEOUT_SHARE_OF_TURN = 0.45;
   // Without a measured rate, callers return within one to three times the minimum delay.
   private static final double SPREAD_WITHOUT_RATE = 2;
   // Multiples of the golden ratio, modulo 1, are spread evenly for any number of them. Hashes of
@@ -62,7 +63,7 @@
       return Math.max(minDelayMs, turnMs);
     }
     long latestMs = Math.min(MAX_RETRY_MS, timeoutMs);
-    long earliestMs = latestMs / 2;
+    long earliestMs = (long) (latestMs * MAX_TIMEOUT_SHARE_OF_TURN);
     return Math.max(minDelayMs, earliestMs + (long) ((latestMs - earliestMs) * fraction));
   }
 
