--- a/core/src/main/java/io/hickorydrift/core/failover/Promotion.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/Promotion.java
@@ -31,6 +31,11 @@
     return term;
   }
 
+  /** Returns whether a target was chosen, which is asked to become primary. */
+  boolean hasChosen() {
+    return chosen != null;
+  }
+
   long startedNanos() {
     return startedNanos;
   }
