Retry failed reads at other targets within the retry budget

Cause: ReadExecution tried a read at another target after each failure, until its deadline.

Retries after a lost answer, a failure or BUSY now use the budget of the group, which hedged reads and lost forwarded reads use already: a tenth of the first attempts and a reserve of 8. If it is used up, the read ends at once, as FAILED if it has run or may have, else as BUSY with a delay. read_retries_refused_total counts these. Active for groups with urgent work and in fleets of several regions.

Ruled out: the budget for LAGGING, READ_ONLY and other refusals that cost the target nothing and do not depend on load; fresh reads would be refused when a replica lags. ReadReplay stays without it and says so.

Conclusion: failing targets get at most 1.1 times the arrivals and 8.

--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -40,7 +40,7 @@
     return targets;
   }
 
-  /** Returns the budget for hedged requests, which send one statement to more than one target. */
+  /** Returns the budget for attempts of a read beyond its first one, hedged or after a failure. */
   public RetryBudget retryBudget() {
     return retryBudget;
   }
--- a/core/src/test/java/io/hickorydrift/core/directory/ReadReplay.java
+++ b/core/src/test/java/io/hickorydrift/core/directory/ReadReplay.java
@@ -17,7 +17,8 @@
  * Replays reads of one group with three targets, of which the first may be faulty, on a test clock.
  * The rule before avoids a target for 60 ms after it was busy and for 300 ms if nothing came from
  * it for 120 ms; the present rule adds {@link TargetHealth}. A read is tried again as {@code
- * ReadExecution} does.
+ * ReadExecution} does, except that the budget limits only retries without an answer and not those
+ * after a failure: the rules are compared by the targets that they choose.
  */
 final class ReadReplay {
   static final long MS = 1_000_000;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -13,7 +13,8 @@
 import java.util.function.Consumer;
 
 /**
- * A read outside a transaction. It is retried and hedged at other targets until its deadline.
+ * A read outside a transaction. It is retried and hedged at other targets until its deadline, in
+ * groups whose outcomes are recorded within the group's retry budget.
  *
  * <p>Invariant: runs only on a target whose log has reached the required position, or inside a
  * transaction that a target begins only while it is the primary. Thread safety: confined to the
@@ -30,6 +31,9 @@
   // About the time that a full queue takes to drain enough to accept requests.
   private static final long AVOID_BUSY_NANOS = 60_000_000L;
   private static final long AVOID_UNRESPONSIVE_NANOS = 300_000_000L;
+  // Shorter pauses would find the target in the same state, as in HoldPolicy.
+  private static final long MIN_RETRY_MS = 100;
+  private static final String BUDGET_USED_UP = "the retry budget is used up after: ";
   private static final double NANOS_PER_MS = 1e6;
   private static final long ROLLBACK_TIMEOUT_NANOS = 350_000_000L;
   // A replica that is behind remains behind for about its usual lag.
@@ -112,7 +116,10 @@
             read(connection, null, true);
           } else {
             context.pool(connection.target()).release(connection);
-            search.attemptFailed("primary did not begin the transaction: " + reply.text());
+            tryAgain(
+                connection.target(),
+                reply,
+                "primary did not begin the transaction: " + reply.text());
           }
         });
   }
@@ -248,13 +255,50 @@
             reply.failure(),
             reply.text());
     if (!searching) {
-      searching = true;
       retryReason =
           reply.lost() ? "lost" : String.valueOf(reply.failure()).toLowerCase(Locale.ROOT);
-      search.attemptFailed(reply.lost() ? "no answer" : String.valueOf(reply.failure()));
+      tryAgain(target, reply, reply.lost() ? "no answer" : String.valueOf(reply.failure()));
     }
   }
 
+  /** Tries the read at another target, or ends it if the retry budget is used up. */
+  private void tryAgain(TargetState target, TargetReply reply, String reason) {
+    if (mayTryAgain(reply)) {
+      searching = true;
+      search.attemptFailed(reason);
+      return;
+    }
+    retryReason = null;
+    if (!completed && attemptsInFlight == 0) {
+      context.metrics().recordReadRetryRefused();
+    }
+    exhausted(BUDGET_USED_UP + reason + (hasRun() ? "" : retryDelay(target)));
+  }
+
+  private boolean mayTryAgain(TargetReply reply) {
+    boolean late = context.loop().nowNanos() - deadlineNanos >= 0;
+    return late
+        || !context.outcomes().isActive(route.group())
+        || !isBudgeted(reply)
+        || !completed && context.directory().group(route.group()).retryBudget().tryWithdraw();
+  }
+
+  /**
+   * Returns whether a retry after {@code reply} needs the budget: the statement ran, or may have
+   * run, or the target has no capacity. Other refusals cost the target nothing, and depend on its
+   * role or position and not on load.
+   */
+  private static boolean isBudgeted(TargetReply reply) {
+    return !reply.ok()
+        && (reply.lost() || reply.failedFor(FailureCode.BUSY) || !reply.failure().hasNoEffect());
+  }
+
+  private String retryDelay(TargetState target) {
+    SearchRefusals refusals = new SearchRefusals(route, statement.id());
+    long retryMs = refusals.retryAfterMs(context.pool(target), MIN_RETRY_MS);
+    return "; retry in " + retryMs + " ms";
+  }
+
   @Override
   public boolean isRepeatable() {
     return true;
@@ -267,10 +311,12 @@
       return;
     }
     completed = true;
-    FailureCode code = FailureCode.BUSY;
-    if (lastFailure != null && (lastFailure.lost() || !lastFailure.failure().hasNoEffect())) {
-      code = FailureCode.FAILED;
-    }
+    FailureCode code = hasRun() ? FailureCode.FAILED : FailureCode.BUSY;
     onOutcome.accept(StatementOutcome.failed(code, reason, SessionState.IDLE));
   }
+
+  /** Returns whether the last attempt has run, or may have. */
+  private boolean hasRun() {
+    return lastFailure != null && (lastFailure.lost() || !lastFailure.failure().hasNoEffect());
+  }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -122,6 +122,11 @@
     rateRefusals.labelValues(cause).inc();
   }
 
+  private final Counter readRetriesRefused =
+      Counter.builder()
+          .name("hickorydrift_read_retries_refused_total")
+          .help("Failed reads that were not tried again, since the retry budget was used up")
+          .register(registry);
   private final Counter readsRetried =
       Counter.builder()
           .name("hickorydrift_reads_retried_total")
@@ -144,6 +149,11 @@
     readsRetried.labelValues(reason).inc();
   }
 
+  /** Counts a read that failed and was not tried again, since the retry budget is used up. */
+  public void recordReadRetryRefused() {
+    readRetriesRefused.inc();
+  }
+
   /** Counts a statement that is refused for the bound of its link. */
   public void recordLinkRefusal() {
     linkRefusals.inc();
