Let an instance that starts have the store's version confirmed

Cause: an instance that starts just as the store returns from an older copy cannot tell the copy from the present, and accepted keys that had been withdrawn since, until a peer's newer declaration arrived 0.7 s later.

While other members are registered, answers of the store now prove nothing at an instance that has started until a peer with earlier knowledge has given a proof for the version, or 10 s have passed (StartConfirmation). Until then requests with keys are refused with a delay. For 10 s, answers of the store count only if they show the newest version known, as after a restore. A pong says -2 in place of the proof's age while its sender waits itself; instances that have all lost power do not wait for one another.

Ruled out: confirmation by any peer, since two that have just started would confirm the copy to each other; taking a refused connection for a dead peer, since a network may refuse too; asking the relays only, since all of a failure domain may have started.

Not measured: a whole fleet that loses power.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.DeclaredOrganisation;
+import io.hickorydrift.core.declaration.StartConfirmation;
 import io.hickorydrift.core.declaration.UrgentGroups;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.LinkedHashMap;
@@ -38,6 +39,11 @@
   private boolean olderShownLogged;
   private long shownVersion;
   private long newestKnownVersion;
+  private StartConfirmation startConfirmation;
+  private boolean startOnly;
+  // Proof by the store that counts once the start is confirmed.
+  private boolean heldProof;
+  private long heldProofNanos;
 
   /**
    * Creates an instance without a declaration.
@@ -48,7 +54,40 @@
   Declarations(EventLoop loop, long keyValidityMs) {
     this.loop = loop;
     setKeyValidityMs(keyValidityMs);
-    loop.clock().onClockPause(() -> confirmed = false);
+    loop.clock().onClockPause(this::forgetProofs);
+  }
+
+  private void forgetProofs() {
+    confirmed = false;
+    heldProof = false;
+  }
+
+  /**
+   * Handles the start of the instance. Until the start is confirmed, answers of the store prove
+   * nothing; after that, the store may still be one that was restored shortly before.
+   */
+  void onStart() {
+    startConfirmation = new StartConfirmation(loop.nowNanos());
+    onNewEra();
+    startOnly = true;
+  }
+
+  /** Returns the decision since when the store is relied on; null before the start. */
+  StartConfirmation startConfirmation() {
+    return startConfirmation;
+  }
+
+  /** Returns whether this instance waits for a confirmation of what the store shows. */
+  boolean isStartAwaited() {
+    return startConfirmation != null && startConfirmation.isAwaited();
+  }
+
+  /** Lets the last answer of the store count if the start was confirmed in another way. */
+  void onStartConfirmed() {
+    if (heldProof) {
+      heldProof = false;
+      confirmByStoreAt(heldProofNanos);
+    }
   }
 
   /** Sets the time for which keys stay valid after a proof that the declaration is current. */
@@ -147,6 +186,7 @@
   /** Handles that the store was restored from an older copy. */
   void onNewEra() {
     restored = true;
+    startOnly = false;
     restoredNanos = loop.nowNanos();
     olderShownLogged = false;
     shownVersion = UNKNOWN_VERSION;
@@ -169,6 +209,11 @@
    */
   void confirmByStoreAt(long requestNanos) {
     if (!restored || shownVersion >= newestKnownVersion) {
+      if (isStartAwaited()) {
+        heldProof = true;
+        heldProofNanos = requestNanos;
+        return;
+      }
       confirmCurrentAt(requestNanos);
       restored &= loop.nowNanos() - restoredNanos < RESTORE_NANOS;
     } else if (!olderShownLogged) {
@@ -179,10 +224,21 @@
   }
 
   /**
-   * Records that the store, queried at {@code requestNanos}, had no newer declaration than the one
-   * in force.
+   * Records that a peer which has the declaration in force too has a proof that dates from {@code
+   * proofNanos}.
    */
-  void confirmCurrentAt(long requestNanos) {
+  void confirmByPeerAt(long proofNanos) {
+    confirmCurrentAt(proofNanos);
+    if (startConfirmation != null && keysConfirmedCurrent()) {
+      startConfirmation.onPeerProof();
+    }
+    if (startOnly && proofNanos - restoredNanos >= RESTORE_NANOS) {
+      restored = false;
+      startOnly = false;
+    }
+  }
+
+  private void confirmCurrentAt(long requestNanos) {
     if (!confirmed || requestNanos - confirmedNanos > 0) {
       confirmed = true;
       confirmedNanos = requestNanos;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -39,7 +39,8 @@
    *
    * @param sequence sequence number of the ping
    * @param version version of the declaration in force
-   * @param proofAgeMs age of the last proof that this version is the newest; -1 without one
+   * @param proofAgeMs age of the last proof that this version is the newest; -1 without one, and
+   *     {@link #STARTED} while the sender has just started and waits for a confirmation itself
    * @param position newest position of the store that the sender has applied
    * @param watching whether the sender watches the store itself
    * @param groups status of each group's primary; empty if the ping did not ask for it
@@ -58,6 +59,9 @@
       List<String> unreachableTargets,
       int protocolVersion)
       implements PeerMessage {
+    /** In place of the age of a proof: the sender has no knowledge from before its start. */
+    static final long STARTED = -2;
+
     /** Creates the pong of an instance that does not say which requests it understands. */
     Pong(
         long sequence,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -30,6 +30,9 @@
 final class Peers implements OutboundPeerLink.Listener {
   private static final long HEARTBEAT_INTERVAL_MS = 400;
   private static final int PROOF_PROVIDERS = 2;
+  // Of a fleet that lost an eighth of its members, 8 others have all started with a probability of
+  // 6e-8; the links exist for a second or two.
+  private static final int ASKED_AT_START = 8;
   // Time for a relay to read the store after a restore.
   private static final long ERA_GRACE_NANOS = 900_000_000L;
   // For how long other targets are preferred to one that a peer cannot reach.
@@ -91,6 +94,7 @@
     service = forwardedStatementService;
     relay = relayService;
     loop.every(HEARTBEAT_INTERVAL_MS, this::updateLinks);
+    new StartCheck(loop, declarations, fleet, this, sync).start();
   }
 
   /** Returns the handler of a connection that a peer opened. */
@@ -148,13 +152,18 @@
   /**
    * Returns the candidates for the own failure domain's relay. A relay also links to those of the
    * other failure domains, from which it takes proofs that it is up to date, and declarations while
-   * the store does not answer it.
+   * the store does not answer it. An instance that has just started asks some further members, as
+   * the relays may have started too.
    */
-  private Set<String> linkedRelays() {
+  Set<String> linkedRelays() {
     Set<String> relays = new HashSet<>(fleet.relayCandidates());
     if (sync.needsOtherRelays()) {
       relays.addAll(fleet.relaysOfOtherDomains());
     }
+    if (declarations.isStartAwaited()) {
+      List<String> others = List.copyOf(fleet.otherAddresses().keySet());
+      Rendezvous.rank("start " + self, others).stream().limit(ASKED_AT_START).forEach(relays::add);
+    }
     relays.remove(self);
     return relays;
   }
@@ -168,8 +177,9 @@
     PeerMessage.Pong pong = link.lastPong();
     boolean outdated =
         pong.position().era() < era.current() && loop.nowNanos() - eraSinceNanos > ERA_GRACE_NANOS;
-    long proofAgeMs =
-        pong.proofAgeMs() < 0 || outdated ? -1 : pong.proofAgeMs() + link.statusAgeMs();
+    // A relay that has just started gives no proofs, but what it watches is up to date.
+    long ageMs = pong.proofAgeMs() == PeerMessage.Pong.STARTED ? 0 : pong.proofAgeMs();
+    long proofAgeMs = ageMs < 0 || outdated ? -1 : ageMs + link.statusAgeMs();
     return new RelaySelection.Status(true, pong.watching(), proofAgeMs);
   }
 
@@ -290,7 +300,7 @@
     return new PeerMessage.Pong(
         ping.sequence(),
         declarations.current().version(),
-        declarations.isUnreadable() ? -1 : declarations.proofAgeMs(),
+        announcedProofAgeMs(),
         sync.position(),
         sync.isWatching(),
         statuses,
@@ -298,6 +308,13 @@
         PeerMessage.PROTOCOL_VERSION);
   }
 
+  private long announcedProofAgeMs() {
+    if (declarations.isStartAwaited()) {
+      return PeerMessage.Pong.STARTED;
+    }
+    return declarations.isUnreadable() ? -1 : declarations.proofAgeMs();
+  }
+
   private List<PeerMessage.PrimaryStatus> primaryStatuses(String peer) {
     List<PeerMessage.PrimaryStatus> statuses = new ArrayList<>();
     for (GroupState group : directory.groups()) {
@@ -337,7 +354,7 @@
     declarations.onKnownVersion(pong.version());
     declarationExchange.onPeerVersion(link, pong.version());
     if (pong.version() == declarations.current().version() && pong.proofAgeMs() >= 0) {
-      declarations.confirmCurrentAt(
+      declarations.confirmByPeerAt(
           pingNanos - TimeUnit.MILLISECONDS.toNanos(pong.proofAgeMs() + 1));
     }
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/DeclarationsEraTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/DeclarationsEraTest.java
@@ -118,4 +118,47 @@
     declarations.onKnownVersion(9);
     assertThat(confirmedAfter(KEY_VALIDITY_MS)).isTrue();
   }
+
+  /** Guards against an instance that starts and takes an older copy of the store for current. */
+  @Test
+  void afterTheStartAnswersOfTheStoreCountOnceTheStartIsConfirmed() throws IOException {
+    Declarations started = new Declarations(loop, KEY_VALIDITY_MS);
+    started.onStart();
+    started.onStoreVersion(7);
+    started.confirmByStoreAt(loop.nowNanos());
+    assertThat(started.keysConfirmedCurrent()).as("not confirmed").isFalse();
+    started.startConfirmation().update(true, loop.nowNanos());
+    started.onStartConfirmed();
+    assertThat(started.keysConfirmedCurrent()).as("no peer").isTrue();
+  }
+
+  @Test
+  void afterTheStartTheNewestVersionOfPeersIsWaitedFor() throws IOException {
+    Declarations started = new Declarations(loop, KEY_VALIDITY_MS);
+    started.onStart();
+    started.onStoreVersion(7);
+    started.confirmByStoreAt(loop.nowNanos());
+    started.onKnownVersion(9);
+    started.startConfirmation().update(false, loop.nowNanos() + RESTORE_MS * 1_000_000);
+    started.onStartConfirmed();
+    assertThat(started.keysConfirmedCurrent()).as("older than known").isFalse();
+    started.onStoreVersion(9);
+    started.confirmByStoreAt(loop.nowNanos());
+    assertThat(started.keysConfirmedCurrent()).as("as known").isTrue();
+  }
+
+  @Test
+  void proofOfPeerConfirmsTheStartOnlyWhileItIsYoung() throws IOException {
+    Declarations started = new Declarations(loop, KEY_VALIDITY_MS);
+    started.onStart();
+    started.confirmByPeerAt(loop.nowNanos() - KEY_VALIDITY_MS * 1_000_000);
+    assertThat(started.isStartAwaited()).as("too old").isTrue();
+    started.confirmByPeerAt(loop.nowNanos());
+    assertThat(started.isStartAwaited()).as("young").isFalse();
+    assertThat(started.needsStoreVersion()).isTrue();
+    time.advanceMs(RESTORE_MS);
+    loop.runOnce(0);
+    started.confirmByPeerAt(loop.nowNanos());
+    assertThat(started.needsStoreVersion()).as("a restore before the start is over").isFalse();
+  }
 }
