Remove waits between the start of an instance and its first statement

Cause, seen in GatewayRestartTest: after a power loss of all instances, callers are sent away for fixed times that are longer than the start. - Openings before the proof for keys: "retry in 1000 ms". They are now held until their statements can be served, at most 400 ms (StartHold); so are requests for tokens at a home that knows no organisations yet. - A home with a peer's declaration but no entries took its groups for such that lost their primary: "no primary; retry in 2500 ms". Primaries are judged once the entries are applied. - A target that refuses connections beyond its limit was taken for unreachable after 700 ms: "primary is being replaced", up to 2.5 s, and in the test a promotion. Such a refusal now shows that the target works. The pause after it is 60 ms instead of 250 ms in the first 4 s. - A link to a peer that does not listen yet was tried again after 400 ms; now after 50 ms in the first 4 s, with 300 ms for an attempt.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -1,6 +1,5 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.declaration.Declaration;
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.statement.CallerMessage;
 import io.hickorydrift.core.statement.FailureCode;
@@ -151,21 +150,30 @@
       refuseAndClose(FailureCode.MALFORMED, "session already open or database missing");
       return;
     }
-    Declaration declaration = context.declarations().current();
-    Route route = declaration.routes().get(open.database());
-    if (declaration == Declaration.NONE) {
-      refuseAndClose(FailureCode.BUSY, "settings not loaded yet; retry in 1000 ms");
-    } else if (route == null) {
-      refuseAndClose(FailureCode.UNKNOWN_DATABASE, "no such database");
-    } else if (!route.allowsAnonymous()
-        && !declaration.keyOwners().containsKey(open.credential())) {
-      refuseAndClose(FailureCode.UNAUTHORIZED, "key is unknown");
-    } else {
-      database = open.database();
-      credential = open.credential();
-      answeredNanos = receivedNanos;
-      context.callerCodec().writeReady(channel.out(), SessionState.IDLE, null);
+    running = true;
+    context
+        .openings()
+        .whenServable(
+            open,
+            () -> {
+              running = false;
+              if (!channel.isClosed()) {
+                finishOpening(open);
+                handleNext();
+              }
+            });
+  }
+
+  private void finishOpening(CallerMessage.Open open) {
+    SessionOpenings.Refusal refusal = context.openings().refusal(open);
+    if (refusal != null) {
+      refuseAndClose(refusal.code(), refusal.reason());
+      return;
     }
+    database = open.database();
+    credential = open.credential();
+    answeredNanos = receivedNanos;
+    context.callerCodec().writeReady(channel.out(), SessionState.IDLE, null);
   }
 
   private void handleUnreadable(CallerMessage.Unreadable unreadable) {
@@ -403,7 +411,7 @@
     answeredNanos = context.loop().nowNanos();
     state = outcome.state();
     if (outcome.signature() != null || outcome.failure() != null) {
-      recordMetrics(outcome);
+      context.recordRequest(owner(), database, outcome, answeredNanos - receivedNanos);
     }
     outcome.rows().forEach(row -> context.callerCodec().writeRow(channel.out(), row));
     if (outcome.failure() == null) {
@@ -430,16 +438,6 @@
     return context.declarations().current().keyOwners().getOrDefault(credential, "none");
   }
 
-  private void recordMetrics(StatementOutcome outcome) {
-    context
-        .metrics()
-        .recordRequest(
-            owner(),
-            database,
-            outcome.failure() == null ? "OK" : outcome.failure().name(),
-            answeredNanos - receivedNanos);
-  }
-
   private void rollBackTransaction() {
     if (transaction != null) {
       OpenTransaction open = transaction;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -10,8 +10,6 @@
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.ChannelHandler;
 import io.hickorydrift.proxy.net.EventLoop;
-import io.hickorydrift.proxy.net.HttpExchange;
-import io.hickorydrift.proxy.net.HttpServerConnection;
 import io.hickorydrift.proxy.net.TcpChannel;
 import io.hickorydrift.proxy.net.TcpListener;
 import io.hickorydrift.proxy.port.KeyValueStore;
@@ -46,11 +44,6 @@
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
-  private static final String METRICS_PATH = "/metrics";
-  private static final String PLAIN_TEXT = "text/plain";
-  private static final int OK = 200;
-  private static final int NOT_FOUND = 404;
-  private static final int UNAVAILABLE = 503;
 
   private GatewaySettings settings;
   private final PlatformAdapter platform;
@@ -122,9 +115,18 @@
             era,
             steps);
     homes.start(peers);
+    StartHold startHold = new StartHold(loop, this::isLoaded);
     limits =
         new OrganisationRateLimiter(
-            loop, declarations, fleet, peers, homes, settings.id(), settings.regions(), metrics);
+            loop,
+            declarations,
+            fleet,
+            peers,
+            homes,
+            settings.id(),
+            settings.regions(),
+            metrics,
+            startHold);
     promotions =
         new PromotionController(
             loop,
@@ -172,7 +174,8 @@
             settings.regions(),
             evacuations,
             warmUps,
-            outcomes);
+            outcomes,
+            new SessionOpenings(declarations, homes, startHold));
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(
@@ -203,12 +206,10 @@
     Logger.info(
         "event=start instance={} failure_domain={}", settings.id(), settings.failureDomain());
     listen(settings.callersListen(), this::acceptSession);
-    listen(
-        settings.readinessListen(),
-        channel -> new HttpServerConnection(channel, this::answerReadiness));
-    listen(
-        settings.metricsListen(),
-        channel -> new HttpServerConnection(channel, this::answerMetrics));
+    StatusEndpoints endpoints =
+        new StatusEndpoints(platform.readinessPath(), this::isReady, metrics);
+    listen(settings.readinessListen(), endpoints::serveReadiness);
+    listen(settings.metricsListen(), endpoints::serveMetrics);
     listen(settings.peersListen(), peers::serve);
     steps.record(StartSteps.Step.LISTENING);
     peers.start(limits, new ForwardedStatementService(context), sync, relay);
@@ -218,6 +219,10 @@
     loop.every(TICK_MS, this::tick);
   }
 
+  private boolean isLoaded() {
+    return sync.loaded();
+  }
+
   /**
    * Returns the time for which a proof allows keys and shares of rates to be used. It is shorter
    * than the lease of a member, so that no share is taken over while it may still be in use.
@@ -279,11 +284,6 @@
         "ready", "1 if the instance accepts new sessions, else 0", () -> isReady() ? 1 : 0);
   }
 
-  private void answerMetrics(HttpExchange exchange) {
-    boolean known = exchange.path().equals(METRICS_PATH);
-    exchange.respond(known ? OK : NOT_FOUND, PLAIN_TEXT, known ? metrics.text() : "not found\n");
-  }
-
   private ChannelHandler acceptSession(TcpChannel channel) {
     if (sessions.size() >= settings.maxSessions()) {
       return refusedConnections.refuse(channel, context);
@@ -308,16 +308,6 @@
     return (nowNanos - stoppingNanos) / NANOS_PER_MS > stopGraceMs / 2;
   }
 
-  private void answerReadiness(HttpExchange exchange) {
-    if (!exchange.path().equals(platform.readinessPath())) {
-      exchange.respond(NOT_FOUND, PLAIN_TEXT, "not found\n");
-    } else if (isReady()) {
-      exchange.respond(OK, PLAIN_TEXT, "ready\n");
-    } else {
-      exchange.respond(UNAVAILABLE, PLAIN_TEXT, "not ready\n");
-    }
-  }
-
   /** Returns whether the load balancer may send new sessions to this instance. */
   public boolean isReady() {
     return !stopping && sync.loaded() && declarations.keysConfirmedCurrent() && limits.hasShare();
@@ -342,7 +332,10 @@
     outcomes.tick();
     limits.tick();
     sync.tick();
-    prober.tick(nowNanos);
+    if (isLoaded()) {
+      // Before, a group whose targets are not known yet would count as one that lost its primary.
+      prober.tick(nowNanos);
+    }
     if (!stopping) {
       promotions.tick(nowNanos, sync.settled());
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -32,7 +32,8 @@
     Regions regions,
     EvacuationService evacuations,
     WarmUpLimits warmUps,
-    TargetOutcomes outcomes) {
+    TargetOutcomes outcomes,
+    SessionOpenings openings) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the retries of reads. */
@@ -45,6 +46,12 @@
     return pools.poolFor(target);
   }
 
+  /** Records the latency of an answered request of {@code organisation}. */
+  void recordRequest(String organisation, String database, StatementOutcome outcome, long nanos) {
+    String result = outcome.failure() == null ? "OK" : outcome.failure().name();
+    metrics.recordRequest(organisation, database, result, nanos);
+  }
+
   /** Returns the region of {@code target}. */
   String regionOf(TargetState target) {
     return regions.regionOf(target.entry().failureDomain());
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OpenAttempts.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OpenAttempts.java
@@ -15,15 +15,23 @@
   // A target drops the connections of a client that lost power after 3 s, and an instance that was
   // the home closes its connections within a few ticks.
   private static final long FULL_RETRY_DELAY_NANOS = 250_000_000L;
+  // While dead connections may count, which ends at a time that is not known, attempts follow each
+  // other faster: the callers of a restarted fleet wait for the connections. Power is back for
+  // about
+  // 2 s when a target drops them, and the attempts begin after the start of the process.
+  private static final long AFTER_START_NANOS = 4_000_000_000L;
+  private static final long FULL_RETRY_AFTER_START_NANOS = 60_000_000L;
 
   private final EventLoop loop;
   private final TargetState target;
+  private final long createdNanos;
   private long nextOpenNanos = Long.MIN_VALUE;
   private long fullUntilNanos = Long.MIN_VALUE;
   private int failures;
 
   OpenAttempts(EventLoop loop, TargetState target) {
     this.loop = loop;
+    createdNanos = loop.nowNanos();
     this.target = target;
   }
 
@@ -56,7 +64,9 @@
     if (code == FailureCode.MISROUTED) {
       target.ruleOut();
     } else if (code == FailureCode.CONNECTION_LIMIT) {
-      fullUntilNanos = nowNanos + FULL_RETRY_DELAY_NANOS;
+      boolean afterStart = nowNanos - createdNanos < AFTER_START_NANOS;
+      fullUntilNanos =
+          nowNanos + (afterStart ? FULL_RETRY_AFTER_START_NANOS : FULL_RETRY_DELAY_NANOS);
     } else {
       failures++;
       nextOpenNanos = nowNanos + OPEN_RETRY_DELAY_NANOS;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OrganisationRateLimiter.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -52,6 +53,9 @@
   private long declarationVersion = Long.MIN_VALUE;
   private long homesChangeCount = -1;
   private boolean hasShare;
+  private final StartHold hold;
+  // Organisations with a holder that this instance reaches.
+  private final Set<String> withReachableHolder = new HashSet<>();
 
   OrganisationRateLimiter(
       EventLoop loop,
@@ -61,7 +65,9 @@
       HomeRouter homes,
       String self,
       Regions regions,
-      Metrics metrics) {
+      Metrics metrics,
+      StartHold hold) {
+    this.hold = hold;
     this.regions = regions;
     this.metrics = metrics;
     timing = regions.isMultiRegion() ? GrantTiming.ACROSS_REGIONS : GrantTiming.WITHIN_REGION;
@@ -85,7 +91,26 @@
    * target bounds them ({@link TargetPool}).
    */
   void request(String organisation, int priority, Listener listener) {
+    hold.run(() -> isDecidable(organisation), () -> requestToken(organisation, priority, listener));
+  }
+
+  /**
+   * Returns whether the rate of {@code organisation} is known, and tokens can come from it. This is
+   * not so while an instance starts, whose buckets are empty.
+   */
+  private boolean isDecidable(String organisation) {
+    refresh();
+    return organisation.equals(AdmissionDecision.NO_ORGANISATION)
+        || withReachableHolder.contains(organisation)
+        || sharedLimiter.level(organisation, loop.nowNanos()) > 0;
+  }
+
+  private void requestToken(String organisation, int priority, Listener listener) {
     refresh();
+    if (!hold.isLoaded()) {
+      listener.refused(StartHold.NOT_LOADED);
+      return;
+    }
     if (organisation.equals(AdmissionDecision.NO_ORGANISATION)) {
       listener.admitted();
       return;
@@ -122,6 +147,7 @@
   void tick() {
     refresh();
     hasShare = fleet.isMember() && declarations.keysConfirmedCurrent();
+    withReachableHolder.clear();
     for (DeclaredOrganisation organisation : declarations.current().organisations().values()) {
       List<String> allHolders = holders.getOrDefault(organisation.name(), List.of());
       List<String> reachable = new ArrayList<>();
@@ -131,6 +157,9 @@
           reachable.add(holder);
         }
       }
+      if (!reachable.isEmpty()) {
+        withReachableHolder.add(organisation.name());
+      }
       if (regions.isMultiRegion()) {
         reachable.sort(Comparator.comparingInt(holder -> isInOwnRegion(holder) ? 0 : 1));
       }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -29,6 +29,13 @@
   // Many round trips; a peer that is short of processor time answers a ping within it.
   private static final long PROBE_TIMEOUT_MS = 400;
   private static final long RECONNECT_DELAY_NANOS = 300_000_000L;
+  // For how long a peer that was never up is taken to be starting, as after a power loss of all
+  // instances, whose entries in the store remain. Several times the spread of such starts.
+  private static final long STARTING_NANOS = 4_000_000_000L;
+  private static final long STARTING_RETRY_MS = 50;
+  // A host without power does not answer at all, and TCP tries again only after 1 s. Above a round
+  // trip between regions.
+  private static final long STARTING_CONNECT_TIMEOUT_MS = 300;
 
   /** Receives the peer's responses. */
   interface Listener {
@@ -51,8 +58,10 @@
   private TcpChannel channel;
   private boolean open;
   private boolean up;
+  private boolean wasUp;
   private boolean probing;
   private boolean needsStatus = true;
+  private final long createdNanos;
   private long statusNeededSinceNanos;
   private boolean closing;
   private long connectionNumber;
@@ -79,7 +88,8 @@
     this.address = address;
     this.era = era;
     this.listener = listener;
-    statusNeededSinceNanos = loop.nowNanos();
+    createdNanos = loop.nowNanos();
+    statusNeededSinceNanos = createdNanos;
     forwards = new OutboundForwards(loop, this);
     connect();
   }
@@ -135,6 +145,31 @@
     forwards.setPeerKnowsCancel(false);
     probing = false;
     channel = TcpChannel.connect(loop, address, this);
+    if (isPeerStarting()) {
+      afterOnThisConnection(STARTING_CONNECT_TIMEOUT_MS, this::endUnansweredConnect);
+    }
+  }
+
+  private boolean isPeerStarting() {
+    return !closing && !wasUp && loop.nowNanos() - createdNanos < STARTING_NANOS;
+  }
+
+  private void afterOnThisConnection(long delayMs, Runnable action) {
+    long connection = connectionNumber;
+    loop.after(
+        delayMs,
+        () -> {
+          if (connection == connectionNumber && !closing) {
+            action.run();
+          }
+        });
+  }
+
+  private void endUnansweredConnect() {
+    if (!open && !channel.isClosed()) {
+      channel.close();
+      closed("no connection in time");
+    }
   }
 
   /** Returns an unused number for a transaction on this link. */
@@ -291,6 +326,7 @@
     }
     if (!up) {
       up = true;
+      wasUp = true;
       Logger.info("event=peer_up peer={}", peer);
     }
     forwards.setPeerKnowsCancel(pong.protocolVersion() >= PeerMessage.Cancel.SINCE_VERSION);
@@ -309,5 +345,8 @@
     up = false;
     lastOpenOrCloseNanos = loop.nowNanos();
     forwards.endAll();
+    if (isPeerStarting()) {
+      afterOnThisConnection(STARTING_RETRY_MS, this::connect);
+    }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -98,14 +98,14 @@
     return connections.size();
   }
 
-  /** Returns whether data was received on any connection after {@code sinceNanos}. */
+  /**
+   * Returns whether the target has answered after {@code sinceNanos}, if only to refuse a
+   * connection beyond its limit: it works, and what fills it may be connections of dead instances.
+   */
   boolean receivedSince(long sinceNanos) {
-    for (TargetConnection connection : connections) {
-      if (connection.isOpen() && connection.lastReceivedNanos() - sinceNanos > 0) {
-        return true;
-      }
-    }
-    return false;
+    return attempts.isFull()
+        || connections.stream()
+            .anyMatch(each -> each.isOpen() && each.lastReceivedNanos() - sinceNanos > 0);
   }
 
   /** Returns whether there is an idle connection of {@code organisation}. */
