Decide which of equally advanced targets is nearest to the writers

PromotionCandidates uses the preference after received position and warmth; PromotionAttempt passes none, so promotions are as before. Counting at the homes, heartbeats, log line and metrics are not built.

--- a/core/src/main/java/io/hickorydrift/core/promotion/PromotionCandidates.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/PromotionCandidates.java
@@ -3,12 +3,13 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
+import java.util.Comparator;
 import java.util.Map;
 
 /**
  * Chooses the target to promote: of the targets that answered, the one with the latest received
  * position, because commits that it has not received are lost. Of several such targets, one that is
- * not slow after its start is preferred.
+ * not slow after its start is preferred, then one near the writers ({@link RegionPreference}).
  *
  * <p>Thread safety: stateless.
  */
@@ -17,19 +18,25 @@
 
   /** Returns the target with the latest position that is not leaving, or null if there is none. */
   public static TargetState mostAdvanced(Map<TargetState, Position> received, long nowNanos) {
-    TargetState mostAdvanced = null;
-    for (Map.Entry<TargetState, Position> each : received.entrySet()) {
-      if (each.getKey().isLeaving()) {
-        continue;
-      }
-      int order =
-          mostAdvanced == null ? 1 : Positions.compare(each.getValue(), received.get(mostAdvanced));
-      boolean warmer =
-          order == 0 && mostAdvanced.isCold(nowNanos) && !each.getKey().isCold(nowNanos);
-      if (order > 0 || warmer) {
-        mostAdvanced = each.getKey();
+    return mostAdvanced(received, RegionPreference.NONE, nowNanos);
+  }
+
+  /**
+   * Returns the target with the latest position that is not leaving, or null if there is none. The
+   * preference only decides among equally advanced targets of the same warmth.
+   */
+  public static TargetState mostAdvanced(
+      Map<TargetState, Position> received, RegionPreference preference, long nowNanos) {
+    Comparator<TargetState> order =
+        Comparator.<TargetState, Position>comparing(received::get, Positions::compare)
+            .thenComparing(target -> !target.isCold(nowNanos))
+            .thenComparing(target -> target.entry().failureDomain(), preference);
+    TargetState best = null;
+    for (TargetState each : received.keySet()) {
+      if (!each.isLeaving() && (best == null || order.compare(each, best) > 0)) {
+        best = each;
       }
     }
-    return mostAdvanced;
+    return best;
   }
 }
