Read before the first write of the evacuation command

The command is always the first work of its process. On a busy machine its first calls took longer than the timeout of 1 s, because code was still being loaded, and the outcome of the write was unknown (exit code 4).

The command now reads the items until the store answers, three times at most, and then writes over the same connection. A read can be repeated. If no read is answered, it still tries to write, so that a missing answer is reported as unknown as before.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/EvacuationItems.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/EvacuationItems.java
@@ -26,6 +26,9 @@
  */
 final class EvacuationItems {
   private static final String VALUE = "{}";
+  // On a busy host, the first two calls of a process that had just started took over 1 s each, the
+  // timeout of a call. The third took less.
+  private static final int MAX_READS_BEFORE_WRITE = 3;
 
   private final EventLoop loop;
   private final KeyValueStore store;
@@ -77,7 +80,20 @@
         "delete the key " + prefix + domain);
   }
 
+  /**
+   * Reads until the store answers, so that a write is not the first call of the process. A read
+   * that takes too long because code is still being loaded can be repeated; after such a write its
+   * outcome would be unknown.
+   */
+  private void readBeforeWrite() throws IOException {
+    Status status = Status.UNKNOWN;
+    for (int i = 0; i < MAX_READS_BEFORE_WRITE && status == Status.UNKNOWN; i++) {
+      status = this.<ReadResult>await(onResult -> store.range(prefix, "", onResult)).status();
+    }
+  }
+
   private long write(Write write, String instruction) throws IOException {
+    readBeforeWrite();
     UpdateResult result = await(onResult -> store.write(write, onResult));
     switch (result.status()) {
       case OK:
--- a/proxy/src/test/java/io/hickorydrift/proxy/cli/EvacuationItemsTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/cli/EvacuationItemsTest.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.ManualTime;
 import io.hickorydrift.proxy.port.KeyValueStore;
+import io.hickorydrift.proxy.port.KeyValueStore.ReadResult;
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import io.hickorydrift.proxy.port.KeyValueStore.UpdateResult;
 import java.io.IOException;
@@ -26,6 +27,8 @@
   private final ManualTime time = new ManualTime();
   private final EventLoop loop = new EventLoop(time);
   private final List<Long> callNanos = new ArrayList<>();
+  private final List<String> calls = new ArrayList<>();
+  private int unansweredReads;
 
   /** Returns a store that answers each write with {@code status}, or not before its timeout. */
   private EvacuationItems itemsOfStore(Status status) {
@@ -35,14 +38,24 @@
                 getClass().getClassLoader(),
                 new Class<?>[] {KeyValueStore.class},
                 (self, method, arguments) -> {
-                  @SuppressWarnings("unchecked")
-                  Consumer<UpdateResult> onResult = (Consumer<UpdateResult>) arguments[1];
-                  write(status, onResult);
+                  answer(method.getName(), status, arguments);
                   return null;
                 });
     return new EvacuationItems(loop, store, PREFIX);
   }
 
+  @SuppressWarnings("unchecked")
+  private void answer(String call, Status status, Object[] arguments) {
+    calls.add(call);
+    if (call.equals("range")) {
+      Status read = unansweredReads-- > 0 ? Status.UNKNOWN : Status.OK;
+      Consumer<ReadResult> onRead = (Consumer<ReadResult>) arguments[2];
+      loop.post(() -> onRead.accept(ReadResult.empty(read, KeyValueStore.NO_ERA)));
+      return;
+    }
+    write(status, (Consumer<UpdateResult>) arguments[1]);
+  }
+
   private void write(Status status, Consumer<UpdateResult> onResult) {
     callNanos.add(loop.nowNanos());
     loop.after(
@@ -80,4 +93,23 @@
         .isInstanceOfSatisfying(
             ProxyException.class, e -> assertThat(e.code()).isEqualTo(ResultCode.SETTINGS_UNKNOWN));
   }
+
+  /**
+   * Guards against a write whose outcome is unknown because the process is still loading code when
+   * its first calls time out.
+   */
+  @Test
+  void writeFollowsAnAnsweredRead() throws IOException {
+    unansweredReads = 2;
+    itemsOfStore(Status.OK).evacuate("zone-1");
+    assertThat(calls).containsExactly("range", "range", "range", "write");
+  }
+
+  /** Guards against a command that never writes because the store answers no reads. */
+  @Test
+  void writeIsTriedAfterThreeUnansweredReads() throws IOException {
+    unansweredReads = Integer.MAX_VALUE;
+    itemsOfStore(Status.OK).evacuate("zone-1");
+    assertThat(calls).containsExactly("range", "range", "range", "write");
+  }
 }
