--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -69,6 +69,11 @@
     lastFailureNanos = loop.nowNanos();
   }
 
+  /** Returns the key of the declaration. */
+  String declarationKey() {
+    return platform.declarationKey();
+  }
+
   /** Returns the items that instances which follow this one need. */
   Collection<Item> items() {
     if (!declarations.isUnreadable()) {
