--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -129,11 +129,6 @@
     return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - lastPongPingNanos);
   }
 
-  /** Returns the age of the peer's last proof, which must have been in {@link #lastPong}. */
-  long proofAgeMs() {
-    return lastPong.proofAgeMs() + statusAgeMs();
-  }
-
   /** Returns a number that changes with each connection of the link. */
   long connectionNumber() {
     return connectionNumber;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Peers.java
@@ -1,6 +1,5 @@
 package io.hickorydrift.proxy.gateway;
 
-import io.hickorydrift.core.declaration.ProofSchedule;
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.GroupState;
 import io.hickorydrift.core.directory.TargetState;
@@ -13,13 +12,11 @@
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.net.TcpChannel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -174,21 +171,6 @@
     return relays;
   }
 
-  /** Pings the peers that {@code ask} names, without waiting for the heartbeat. */
-  void requestProofs(ProofSchedule.Ask ask) {
-    if (ask == ProofSchedule.Ask.ALL) {
-      linkedRelays().stream()
-          .map(outboundLinks::get)
-          .filter(Objects::nonNull)
-          .forEach(OutboundPeerLink::requestStatus);
-    } else if (ask == ProofSchedule.Ask.YOUNGEST) {
-      liveLinks().stream()
-          .filter(link -> link.lastPong().proofAgeMs() >= 0)
-          .min(Comparator.comparingLong(OutboundPeerLink::proofAgeMs))
-          .ifPresent(OutboundPeerLink::requestStatus);
-    }
-  }
-
   /** Returns what is known of a candidate for the relay. */
   RelaySelection.Status relayStatus(String candidate) {
     OutboundPeerLink link = outboundLinks.get(candidate);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -72,11 +72,6 @@
     lastFailureNanos = loop.nowNanos();
   }
 
-  /** Returns the key of the declaration. */
-  String declarationKey() {
-    return platform.declarationKey();
-  }
-
   /** Returns the items that instances which follow this one need. */
   Collection<Item> items() {
     if (!declarations.isUnreadable()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreRetry.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreRetry.java
@@ -20,7 +20,6 @@
   // Clients give up a call 600 ms or more after the wait that it requests; a call that fails
   // earlier was refused, or its connection was closed, and the store may be away.
   private static final long MIN_TIMEOUT_MS = 500;
-  private static final long REPEATED_LOSS_NANOS = 1_000_000_000L;
   // A relay finds the recovery of the store and passes it on; the others seldom need to.
   private static final long RELAYED_RETRY_MS = 2_000;
 
@@ -29,8 +28,6 @@
   private final Peers peers;
   private final String self;
   private boolean failedBefore;
-  private boolean historyLost;
-  private long historyLostNanos;
   private long timeoutFromNanos;
 
   StoreRetry(EventLoop loop, FleetMembership fleet, Peers peers, String self) {
@@ -59,15 +56,6 @@
     return candidates.contains(self) || candidates.stream().noneMatch(peers::isUp);
   }
 
-  /** Returns the time until a snapshot is read because the store has no history for a watch. */
-  long historyLossPauseMs() {
-    long nowNanos = loop.nowNanos();
-    boolean repeated = historyLost && nowNanos - historyLostNanos < REPEATED_LOSS_NANOS;
-    historyLost = true;
-    historyLostNanos = nowNanos;
-    return repeated ? RETRY_MS : 0;
-  }
-
   /** Returns the time until the last call, which failed with {@code status}, is repeated. */
   long pauseMs(Status status, boolean loaded) {
     final boolean first = !failedBefore;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreSync.java
@@ -10,6 +10,7 @@
 import io.hickorydrift.proxy.port.KeyValueStore.Status;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -29,9 +30,11 @@
   // Maximum time for which this instance may stay behind its peers. Above the pause after a change
   // at their relays and at the own one.
   private static final long STALE_NANOS = 1_000_000_000L;
+  private static final long REPEATED_LOSS_MS = 1_000;
   // Time for the other instances of a fleet that starts to register themselves.
   private static final long START_PAUSE_MS = 300;
-  // Time for the first candidate for the relay to read the store and to say so in a heartbeat.
+  // Time for the first candidate for the relay to read the store and, by its next heartbeat, to say
+  // so.
   private static final long RELOAD_WAIT_MS = 450;
   private static final String ALL_KEYS = "";
 
@@ -55,6 +58,8 @@
   private boolean paused;
   private long watchNumber;
   private long behindSinceNanos;
+  private long historyLostNanos;
+  private boolean historyLost;
   private boolean reachable;
   private Status lastFailure;
 
@@ -77,7 +82,7 @@
     this.relay = relay;
     this.era = era;
     subscription = new RelaySubscription(loop, declarations);
-    watchWait = new WatchWait(loop, declarations);
+    watchWait = new WatchWait(loop, declarations, peers);
     era.addListener(this::onNewEra);
     this.self = self;
     retries = new StoreRetry(loop, fleet, peers, self);
@@ -128,7 +133,6 @@
   /** Reads the members of the fleet, to find a relay, and then begins to follow or to watch. */
   void start() {
     readMembers(false);
-    new ProofPoll(loop, store, contents.declarationKey(), this, declarations, peers).start();
   }
 
   private void readMembers(boolean firstStart) {
@@ -345,22 +349,7 @@
     }
   }
 
-  /** Handles a poll without an answer: the watch, which waits longer, will not have one either. */
-  void onPollFailed(Status status) {
-    if (isWatching() && !paused) {
-      watchNumber++;
-      onFailure(status, this::watch);
-    }
-  }
-
-  /** Repeats the watch if it has not shown a declaration that was written after {@code applied}. */
-  void onDeclarationWritten(StorePosition applied) {
-    if (isWatching() && !paused && position.equals(applied)) {
-      watch();
-    }
-  }
-
-  /** Replaces a long watch by a short one when there are no proofs any more. */
+  /** Replaces a long watch by a short one when peers no longer provide proofs. */
   private void replaceLongWatch() {
     if (isWatching() && isOfCurrentEra() && !paused && watchWait.isTooLong()) {
       watch();
@@ -422,7 +411,18 @@
 
   /** Reads a new snapshot; repeated losses wait, since the store would be called without pause. */
   private void onHistoryLost() {
-    afterPause(retries.historyLossPauseMs(), this::load);
+    boolean repeated = historyLost && elapsedMs(historyLostNanos) < REPEATED_LOSS_MS;
+    historyLost = true;
+    historyLostNanos = loop.nowNanos();
+    if (repeated) {
+      afterPause(StoreRetry.RETRY_MS, this::load);
+    } else {
+      load();
+    }
+  }
+
+  private long elapsedMs(long sinceNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - sinceNanos);
   }
 
   private void markReachable() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WatchWait.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WatchWait.java
@@ -9,10 +9,9 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class WatchWait {
-  // The result of a watch proves that keys are current; without other proofs it has to arrive
-  // often.
+  // The result of a watch proves that keys are current, so it has to arrive often.
   private static final long SHORT_MS = 900;
-  // Used while there are proofs by polls or by peers. A change still ends the watch at once.
+  // Used while other relays provide such proofs. A change still ends the watch at once.
   private static final long LONG_MS = 8_000;
   private static final long LONG_MAX_PROOF_AGE_MS = 2_000;
   // While the store is unreachable, short watches detect its recovery early.
@@ -22,12 +21,14 @@
 
   private final EventLoop loop;
   private final Declarations declarations;
+  private final Peers peers;
   private long startedNanos;
   private long waitMs;
 
-  WatchWait(EventLoop loop, Declarations declarations) {
+  WatchWait(EventLoop loop, Declarations declarations, Peers peers) {
     this.loop = loop;
     this.declarations = declarations;
+    this.peers = peers;
   }
 
   /** Returns the wait of a watch that starts now. */
@@ -38,9 +39,8 @@
   }
 
   private long reachableMs() {
-    long proofAgeMs = declarations.proofAgeMs();
-    boolean proven = proofAgeMs >= 0 && proofAgeMs < LONG_MAX_PROOF_AGE_MS;
-    return proven ? LONG_MS : SHORT_MS;
+    boolean peersProvideProofs = declarations.proofAgeMs() < LONG_MAX_PROOF_AGE_MS;
+    return peers.providesProofs() || !peersProvideProofs ? SHORT_MS : LONG_MS;
   }
 
   /** Returns whether the wait of the watch is not over at {@code nowNanos}. */
@@ -48,7 +48,7 @@
     return TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos) < waitMs;
   }
 
-  /** Returns whether a short watch should replace a long one: there are no proofs any more. */
+  /** Returns whether a short watch should replace a long one: peers no longer provide proofs. */
   boolean isTooLong() {
     boolean recent = loop.nowNanos() - startedNanos < RECENT_NANOS;
     return waitMs == LONG_MS && !recent && declarations.proofAgeMs() > LONG_MAX_PROOF_AGE_MS;
