--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OpenAttempts.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OpenAttempts.java
@@ -15,10 +15,8 @@
   // A target drops the connections of a client that lost power after 3 s, and an instance that was
   // the home closes its connections within a few ticks.
   private static final long FULL_RETRY_DELAY_NANOS = 250_000_000L;
-  // While dead connections may count, which ends at a time that is not known, attempts follow each
-  // other faster: the callers of a restarted fleet wait for the connections. Power is back for
-  // about
-  // 2 s when a target drops them, and the attempts begin after the start of the process.
+  // After a power loss of all instances, their callers wait for connections, which targets drop at
+  // a time that is not known, about 2 s after power is back. Attempts follow each other faster.
   private static final long AFTER_START_NANOS = 4_000_000_000L;
   private static final long FULL_RETRY_AFTER_START_NANOS = 60_000_000L;
 
