--- a/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/FailoverStateMachine.java
@@ -190,14 +190,8 @@
     }
   }
 
-  /**
-   * Probes the targets if it is time to. During a promotion, a probe on a new connection would
-   * abort the fence that is in flight to the same target, and with it the attempt: the term is
-   * lost, and while the store is unavailable no other can be reserved.
-   */
   private void probe(long nowNanos, List<FailoverAction> actions) {
-    boolean due = nextProbeNanos == Long.MIN_VALUE || nowNanos - nextProbeNanos >= 0;
-    if (!due || promotion != null) {
+    if (nextProbeNanos != Long.MIN_VALUE && nowNanos - nextProbeNanos < 0) {
       return;
     }
     nextProbeNanos = nowNanos + settings.probeIntervalNanos() + settings.probeTimeoutNanos();
@@ -295,7 +289,7 @@
 
   private boolean mayPromote(long nowNanos) {
     boolean backingOff = backOffUntilNanos != Long.MIN_VALUE && nowNanos - backOffUntilNanos < 0;
-    if (!suspectsPrimary || backingOff || !mayFenceReservedTerm()) {
+    if (!suspectsPrimary || backingOff || reservedTerm <= view.term()) {
       return false;
     }
     if (mayHaveUnknownObservers(nowNanos)) {
@@ -340,15 +334,6 @@
     return reachable >= view.majority();
   }
 
-  /**
-   * Returns whether the reserved term is above all others, or was fenced by an attempt of this
-   * observer that ended before it requested a promotion.
-   */
-  private boolean mayFenceReservedTerm() {
-    boolean fencedBefore = reservedTerm > 0 && reservedTerm == view.term();
-    return reservedTerm > view.term() || (fencedBefore && view.primary() == null);
-  }
-
   private void startPromotion(long nowNanos, List<FailoverAction> actions) {
     promotion = new Promotion(reservedTerm, nowNanos);
     reservedTerm = 0;
@@ -368,11 +353,6 @@
       promote(chosen, actions);
       return;
     }
-    if (!promotion.hasChosen()) {
-      // No target was asked to become primary of the term, which only this observer can use. While
-      // the store is unavailable no other can be reserved.
-      reservedTerm = Math.max(reservedTerm, promotion.term());
-    }
     abandonTerm(nowNanos);
   }
 
--- a/core/src/main/java/io/hickorydrift/core/failover/Promotion.java
+++ b/core/src/main/java/io/hickorydrift/core/failover/Promotion.java
@@ -31,11 +31,6 @@
     return term;
   }
 
-  /** Returns whether a target was chosen, which is asked to become primary. */
-  boolean hasChosen() {
-    return chosen != null;
-  }
-
   long startedNanos() {
     return startedNanos;
   }
--- a/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
+++ b/core/src/test/java/io/hickorydrift/core/failover/FailoverStateMachineTest.java
@@ -7,7 +7,6 @@
 import io.hickorydrift.core.message.TargetAnswer;
 import io.hickorydrift.core.message.TargetStatus;
 import io.hickorydrift.core.routing.GroupView;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -132,88 +131,4 @@
   void suspicionOfAnotherTermTriggersNoProbe() {
     assertThat(probes(machine.onSuspicion(suspicion(TERM - 1), 1_000 * MS))).isEmpty();
   }
-
-  /**
-   * Guards against a promotion that aborts its own fences: a poll of the failed primary that ends
-   * without an answer was followed by probes of all targets on new connections.
-   */
-  @Test
-  void noTargetIsProbedWhilePromotionIsUnderWay() {
-    machine.setObservers(List.of("self", "other"));
-    machine.onTermReserved(TERM + 1);
-    long startedNanos = failUntilPromotion(1_000 * MS);
-    long endNanos = startedNanos + FailoverSettings.STANDARD.attemptTimeoutNanos();
-    for (long nowNanos = startedNanos; nowNanos <= endNanos; nowNanos += 20 * MS) {
-      List<FailoverAction> actions = new ArrayList<>(machine.tick(nowNanos));
-      actions.addAll(machine.onProbeResult("a", null, false, nowNanos));
-      assertThat(probes(actions)).as("after %d ns", nowNanos - startedNanos).isEmpty();
-    }
-    machine.tick(endNanos + MS);
-    assertThat(probes(machine.tick(endNanos + 2 * MS))).hasSize(3);
-  }
-
-  /** Lets the probes of the primary fail until the fences are sent; returns that time. */
-  private long failUntilPromotion(long fromNanos) {
-    for (long nowNanos = fromNanos; nowNanos < fromNanos + 2_000 * MS; nowNanos += 20 * MS) {
-      answerFromAllTargets(view, nowNanos);
-      List<FailoverAction> actions =
-          new ArrayList<>(machine.onSuspicion(suspicion(TERM), nowNanos));
-      actions.addAll(machine.onProbeResult("a", null, true, nowNanos));
-      if (promotes(actions)) {
-        return nowNanos;
-      }
-    }
-    throw new AssertionError("no promotion");
-  }
-
-  private static TargetAnswer fenced() {
-    Position last = new Position(TERM, 1);
-    return TargetAnswer.builder()
-        .status(TargetStatus.OK)
-        .term(TERM + 1)
-        .applied(last)
-        .logged(last)
-        .build();
-  }
-
-  /**
-   * Fences term {@code TERM + 1} with answers of {@code answering} only, while no term can be
-   * reserved; returns the terms that are fenced in the 4 s after the attempt.
-   */
-  private List<Long> termsFencedAfterAttempt(List<String> answering) {
-    machine.setObservers(List.of("self"));
-    machine.onTermReserved(TERM + 1);
-    long nowNanos = failUntilPromotion(2_000 * MS);
-    for (String target : answering) {
-      view.recordAnswer(target, fenced(), nowNanos);
-      machine.onFenceResult(target, TERM + 1, fenced(), nowNanos);
-    }
-    List<Long> terms = new ArrayList<>();
-    for (long endNanos = nowNanos + 4_000 * MS; nowNanos < endNanos; nowNanos += 20 * MS) {
-      view.recordAnswer("b", fenced(), nowNanos);
-      view.recordAnswer("c", fenced(), nowNanos);
-      machine.onTermReserved(0);
-      for (FailoverAction action : machine.tick(nowNanos)) {
-        if (action instanceof FailoverAction.Fence fence) {
-          terms.add(fence.term());
-        }
-      }
-    }
-    return terms;
-  }
-
-  /**
-   * Guards against a group without a primary until the end of a store outage: the term of an
-   * attempt whose fences were not answered in time was given up, and no other could be reserved.
-   */
-  @Test
-  void termOfAttemptWithoutMajorityIsFencedAgain() {
-    assertThat(termsFencedAfterAttempt(List.of("b"))).contains(TERM + 1).containsOnly(TERM + 1);
-  }
-
-  /** Guards against two targets that are asked to become primary of the same term. */
-  @Test
-  void termIsNotFencedAgainAfterPromotionWasRequested() {
-    assertThat(termsFencedAfterAttempt(List.of("b", "c"))).isEmpty();
-  }
 }
