Close the sockets of the fleet of the test before

GatewayHarness leaves the sockets of each test open; with the tests of this release one of the two test processes reached the limit of 20,000 descriptors after 50 classes (9,513 and 10,000 were counted in two of them).

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/EventLoop.java
@@ -21,7 +21,7 @@
  * <p>Thread safety: confined to the thread in {@link #run}, except for {@link #post} and {@link
  * #stop}.
  */
-public final class EventLoop {
+public final class EventLoop implements AutoCloseable {
   private static final int BUFFER_BYTES = 64 * 1024;
   private static final int MAX_SELECT_MS = 1_000;
   // The rest of the heap is for everything else, and for the copies made while a message is read.
@@ -85,6 +85,19 @@
     }
   }
 
+  /** Closes all channels and the selector; the loop cannot run any more. */
+  @Override
+  public void close() {
+    try {
+      for (SelectionKey key : selector.keys()) {
+        key.channel().close();
+      }
+      selector.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Returns the clock, which is read at least once in each iteration. */
   public SteadyClock clock() {
     return clock;
