Find the home once when a transaction begins; remove an unused method

beginAdmitted ranked the homes to choose between a local and a forwarded transaction, and checkLink ranked them again, on each BEGIN. The link that was found is checked now; with allowed regions that is the home which the transaction uses.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -265,8 +265,10 @@
     Route route = admission.route();
     OperationScope scope = new OperationScope(route, admission.organisation(), admission.allowed());
     boolean needsPrimary = SingleStatement.needsPrimary(route, !readOnly);
+    OutboundPeerLink home =
+        context.homes().remoteLink(route.group(), needsPrimary, scope.allowed());
     transaction =
-        context.homes().remoteLink(route.group(), needsPrimary, scope.allowed()) == null
+        home == null
             ? new LocalTransaction(context, scope, data, readOnly, receivedNanos)
             : new RemoteTransaction(
                 context.loop(),
@@ -276,7 +278,9 @@
                 readOnly,
                 context.metrics()::recordLinkRefusal);
     answer(StatementOutcome.done(SessionState.IN_TRANSACTION));
-    context.homes().checkLink(route.group(), needsPrimary);
+    if (home != null && context.homes().isByLocality(route.group())) {
+      home.checkIfIdle();
+    }
   }
 
   private void endTransaction(Statement statement) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -253,13 +253,6 @@
     return confirmed && !unreadable && loop.nowNanos() - confirmedNanos < keyValidityNanos;
   }
 
-  /** Returns the time for which keys stay valid without another proof, in milliseconds. */
-  long proofLeftMs() {
-    return confirmed
-        ? TimeUnit.NANOSECONDS.toMillis(confirmedNanos + keyValidityNanos - loop.nowNanos())
-        : 0;
-  }
-
   /** Returns the age of the last proof in milliseconds, or -1 if there is none. */
   long proofAgeMs() {
     return confirmed ? TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - confirmedNanos) : -1;
