Review: a line feed inside a statement's data ends the statement

LineFormat.readLine ends a line at each LF, with or without a CR before it. The data before it is written and acknowledged, the rest runs as a message of its own.

The stand-ins read lines that end with CR LF and with nothing else. Nothing is fixed.

--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -1,8 +1,6 @@
 package review;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -148,9 +146,7 @@
       }
       try (socket) {
         out = socket.getOutputStream();
-        BufferedReader in =
-            new BufferedReader(
-                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        LineReader in = new LineReader(socket.getInputStream());
         serve(in, admitted);
       } catch (IOException | InterruptedException e) {
         // The connection ends.
@@ -164,7 +160,7 @@
       }
     }
 
-    private void serve(BufferedReader in, boolean admitted)
+    private void serve(LineReader in, boolean admitted)
         throws IOException, InterruptedException {
       String line = in.readLine();
       String[] words = line == null ? new String[0] : line.split(" ");
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -1,8 +1,6 @@
 package review;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -27,7 +25,7 @@
   final String name;
   private final Record record;
   private final Socket socket;
-  private final BufferedReader in;
+  private final LineReader in;
 
   /** Opens a session, in 2 s at most. */
   Client(String name, Record record, String address, String database, String key)
@@ -38,9 +36,7 @@
     socket = new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(2_000);
-    in =
-        new BufferedReader(
-            new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    in = new LineReader(socket.getInputStream());
     write("STARTUP " + database + " " + key);
     String line = in.readLine();
     if (line == null || !line.startsWith("READY")) {
