--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -34,12 +35,16 @@
   private final Semaphore slots;
   private int sessionCount;
 
-  Backend(Group group, String id, String ip, String zone) throws IOException {
+  volatile boolean draining;
+
+  Backend(Group group, String id, String ip, int port, String zone) throws IOException {
     this.group = group;
     this.id = id;
     this.zone = zone;
     slots = new Semaphore(group.options.slots(), true);
-    server = new ServerSocket(0, 200, InetAddress.getByName(ip));
+    server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 200);
     Thread thread = new Thread(this::accept, id);
     thread.setDaemon(true);
     thread.start();
@@ -82,7 +87,7 @@
   }
 
   void crash() {
-    group.record.add("fault     %s crashes", id);
+    group.record.add(draining ? "backend   %s ends" : "fault     %s crashes", id);
     crashed = true;
     List<Session> open;
     synchronized (group) {
@@ -402,9 +407,14 @@
     }
 
     private void log(String queryId, String text, String what) {
-      if (!queryId.equals("-")) {
-        group.record.add("backend   %s %s id=%s %s: %s", name, tenant, queryId, text, what);
+      if (queryId.equals("-")) {
+        return;
+      }
+      synchronized (group) {
+        group.valuesByStatement.put(queryId, Map.copyOf(values));
       }
+      String with = values.isEmpty() ? "" : " values=" + values;
+      group.record.add("backend   %s %s id=%s %s: %s%s", name, tenant, queryId, text, what, with);
     }
 
     private void fail(String queryId, String text, String code) throws IOException {
--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -32,6 +32,8 @@
   final Record record;
   final List<Backend> backends = new ArrayList<>();
   final List<Entry> log = new ArrayList<>();
+  /** The session values of the connection on which each client's statement ran, by its id. */
+  final Map<String, Map<String, String>> valuesByStatement = new LinkedHashMap<>();
   final ScheduledExecutorService timer;
   private final StoreWriter store;
   Backend primary;
@@ -57,7 +59,7 @@
   }
 
   Backend add(String id, String ip, String zone) throws IOException {
-    Backend added = new Backend(this, id, ip, zone);
+    Backend added = new Backend(this, id, ip, 0, zone);
     synchronized (this) {
       backends.add(added);
       if (primary == null) {
@@ -83,7 +85,7 @@
     entry.put("zone", backend.zone);
     entry.put("version", "v1");
     entry.put("slots", options.slots());
-    entry.put("state", "ready");
+    entry.put("state", backend.draining ? "draining" : "ready");
     entry.put("coldLeftMs", 0);
     entry.put("dbRole", backend == primary ? "primary" : "replica");
     entry.put("seq", ++backend.seq);
@@ -187,6 +189,39 @@
     return null;
   }
 
+  /**
+   * Replaces a backend as in a release: it reports that it drains, serves on for {@code drainMs},
+   * and ends. Its log is transferred to a new backend at its address.
+   */
+  synchronized void replace(Backend old, long drainMs) {
+    record.add("plan      %s drains", old.id);
+    old.draining = true;
+    announce(old);
+    timer.schedule(() -> succeed(old), drainMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void succeed(Backend old) {
+    old.crash();
+    synchronized (this) {
+      store.put("servers/" + old.id, null);
+      String address = old.address();
+      int colon = address.lastIndexOf(':');
+      int port = Integer.parseInt(address.substring(colon + 1));
+      try {
+        Backend next =
+            new Backend(this, old.id + "n", address.substring(0, colon), port, old.zone);
+        next.received = Math.min(old.received, log.size());
+        next.applied = next.received;
+        backends.add(next);
+        next.receive(log.size());
+        announce(next);
+        record.add("backend   %s starts at the address of %s", next.id, old.id);
+      } catch (IOException e) {
+        record.add("backend   no successor of %s: %s", old.id, e);
+      }
+    }
+  }
+
   /** The crash of a backend: it says nothing any more, and its entry expires. */
   void crash(Backend backend, long expiryMs) {
     backend.crash();
