Review: ports of the stand-ins

A trial of the stand-ins did not begin, since a port that had been found free was in use when a process bound it. Ports now come from below the range that connections get, each once.

--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -5,6 +5,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -12,10 +13,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +32,8 @@
 final class World implements AutoCloseable {
   static final String KEY = "u6wsjnbanfqasnmgkcuy";
   static final String TENANT = "nypu920";
+  private static final int FIRST_PORT = 10_000;
+  private static final int PORTS = 20_000;
 
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   final Record record;
@@ -44,7 +49,9 @@
   final EventLoop loop = new EventLoop();
   StandinStore store;
   private final HttpServer cloud;
-  private final String prefix = "127." + (20 + new Random().nextInt(200)) + ".";
+  private final Random random = new Random();
+  private final Set<Integer> givenPorts = new HashSet<>();
+  private final String prefix = "127." + (20 + random.nextInt(200)) + "." + random.nextInt(250);
   private long version = 5;
   private int nextHost = 1;
 
@@ -92,12 +99,21 @@
   }
 
   String nextIp() {
-    return prefix + "7." + nextHost++;
+    return prefix + "." + nextHost++;
   }
 
+  /** Returns a port that is free, was not returned before, and is none that connections get. */
   int freePort(String ip) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = FIRST_PORT + random.nextInt(PORTS);
+      if (!givenPorts.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        record.add("system    port %d is not free at %s", port, ip);
+      }
     }
   }
 
