End a forwarded transaction with the connection that carried it

Cause: RemoteTransaction asked only whether its link was up. A link opens its connection again after a loss; a loss between two statements was not noticed. The home had rolled back what was open on the lost connection, did not know the number that the next statement carried, and began another transaction: a forwarded statement did not say whether it was the first one.

Change: a transaction belongs to the connection of its first statement. Each forwarded statement says whether its transaction was begun; a home that does not know it answers ABORTED, which is true, since a sender sends nothing after a commit. The field comes last and is optional: an old home ignores it, and the entry's own check protects; an old entry does not send it, so that its transactions go on as before until it is updated. A commit on a target connection that has closed during the pause is ABORTED instead of in doubt, since nothing of it was sent.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -30,7 +30,7 @@
   private ForwardCodec() {}
 
   static void packForward(MessagePacker packer, PeerMessage.Forward forward) throws IOException {
-    packer.packLong(forward.correlation()).packLong(forward.transaction());
+    packer.packLong(forward.correlation()).packLong(forward.transaction().number());
     packer.packBoolean(forward.readOnly()).packString(forward.organisation());
     Route route = forward.route();
     packer.packString(route.group()).packInt(route.consistency().ordinal());
@@ -53,6 +53,8 @@
     packPosition(packer, forward.lastCommit());
     packer.packBoolean(forward.counted()).packLong(forward.ageMs());
     packAllowed(packer, forward.allowed());
+    // Instances of earlier versions ignore further fields.
+    packer.packBoolean(forward.transaction().begun());
   }
 
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
@@ -88,19 +90,26 @@
     for (int i = 0; i < count; i++) {
       values.put(unpacker.unpackString(), unpacker.unpackString());
     }
+    final Position lastCommit = unpackPosition(unpacker);
+    final boolean counted = unpacker.unpackBoolean();
+    final long ageMs = unpacker.unpackLong();
+    // Instances of earlier versions omit the fields from here on.
+    final AllowedRegions allowed =
+        unpacker.hasNext() ? unpackAllowed(unpacker) : AllowedRegions.ALL;
+    final boolean begun = unpacker.hasNext() && unpacker.unpackBoolean();
     return new PeerMessage.Forward(
         correlation,
-        transaction,
+        new PeerMessage.TransactionRef(transaction, begun),
         readOnly,
         organisation,
         route,
         statement,
         preparedStatement,
         values,
-        unpackPosition(unpacker),
-        unpacker.unpackBoolean(),
-        unpacker.unpackLong(),
-        unpackAllowed(unpacker));
+        lastCommit,
+        counted,
+        ageMs,
+        allowed);
   }
 
   private static void packAllowed(MessagePacker packer, AllowedRegions allowed) throws IOException {
@@ -110,11 +119,7 @@
     }
   }
 
-  /** Unpacks the allowed regions, the last field, which instances of earlier versions omit. */
   private static AllowedRegions unpackAllowed(MessageUnpacker unpacker) throws IOException {
-    if (!unpacker.hasNext()) {
-      return AllowedRegions.ALL;
-    }
     final boolean restricted = unpacker.unpackBoolean();
     int count =
         PeerMessageCodec.checkCount(unpacker.unpackArrayHeader(), PeerMessageCodec.MAX_ITEMS);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
@@ -11,8 +11,8 @@
 /**
  * Runs the statements that peers forward to this instance, and counts their operations.
  *
- * <p>Invariant: the transactions of a link are rolled back when it closes. Thread safety: confined
- * to the loop's thread.
+ * <p>Invariant: the transactions of a link are rolled back when it closes; only the first statement
+ * of a transaction begins one at a target. Thread safety: confined to the loop's thread.
  */
 final class ForwardedStatementService {
   private final GatewayContext context;
@@ -35,12 +35,16 @@
           link.send(new PeerMessage.Result(forward.correlation(), outcome));
         };
     SessionData session = SessionData.of(forward);
-    LocalTransaction open = findTransaction(link, forward.transaction());
+    LocalTransaction open = findTransaction(link, forward.transaction().number());
     if (open != null) {
       running.remove(statement);
       runInTransaction(open, link, forward, receivedNanos, session, onOutcome);
       return;
     }
+    if (forward.transaction().begun()) {
+      refuseUnknownTransaction(link, forward, onOutcome);
+      return;
+    }
     if (forward.counted()) {
       runAdmitted(link, forward, receivedNanos, session, statement, onOutcome);
       return;
@@ -69,6 +73,27 @@
             });
   }
 
+  /**
+   * Answers a statement of a transaction that has ended here. Its commit cannot have run: a sender
+   * sends nothing of a transaction after its commit.
+   */
+  private void refuseUnknownTransaction(
+      InboundPeerLink link, PeerMessage.Forward forward, Consumer<StatementOutcome> onOutcome) {
+    context
+        .requestLog()
+        .logDecision(
+            forward.statement().id(),
+            "decision=transaction_unknown peer={} transaction={} kind={}",
+            link.peer(),
+            forward.transaction().number(),
+            forward.statement().kind());
+    onOutcome.accept(
+        StatementOutcome.failed(
+            FailureCode.ABORTED,
+            "transaction has ended at the home and was rolled back",
+            stateAfterRefusal(forward)));
+  }
+
   /** Returns the age of a statement, within the time that its sender still waits for it. */
   private static long ageNanos(PeerMessage.Forward forward) {
     long ageMs = Math.max(0, Math.min(forward.ageMs(), forward.route().statementTimeoutMs()));
@@ -77,7 +102,7 @@
 
   private static SessionState stateAfterRefusal(PeerMessage.Forward forward) {
     boolean inTransaction =
-        forward.transaction() != 0 && forward.statement().kind() != StatementKind.COMMIT;
+        forward.transaction().number() != 0 && forward.statement().kind() != StatementKind.COMMIT;
     return inTransaction ? SessionState.FAILED : SessionState.IDLE;
   }
 
@@ -93,14 +118,14 @@
       SessionData session,
       RunningForwards.Running statement,
       Consumer<StatementOutcome> onOutcome) {
-    if (forward.transaction() != 0) {
+    if (forward.transaction().number() != 0) {
       statement.begin(() -> false);
       LocalTransaction transaction =
           new LocalTransaction(
               context, OperationScope.of(forward), session, forward.readOnly(), receivedNanos);
       transactions
           .computeIfAbsent(link, key -> new HashMap<>())
-          .put(forward.transaction(), transaction);
+          .put(forward.transaction().number(), transaction);
       runInTransaction(transaction, link, forward, receivedNanos, session, onOutcome);
     } else if (session.writes(forward.statement())) {
       WriteExecution execution =
@@ -141,7 +166,7 @@
         receivedNanos,
         outcome -> {
           if (outcome.state() != SessionState.IN_TRANSACTION) {
-            endTransaction(link, forward.transaction());
+            endTransaction(link, forward.transaction().number());
           }
           onOutcome.accept(outcome);
         });
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -22,6 +22,8 @@
 final class LocalTransaction implements TargetSearch.Listener, OpenTransaction {
   private static final long ATTEMPT_TIMEOUT_NANOS = 350_000_000L;
   private static final long BUSY_RETRY_DELAY_MS = 10;
+  private static final String HAS_ENDED = "transaction has ended and was rolled back";
+  private static final String CONNECTION_LOST = "connection to the target lost";
   private static final String EVACUATED = "the target's failure domain is evacuated";
   private static final String ENDED_IDLE =
       "transaction was idle while others waited for its connection and was rolled back";
@@ -90,6 +92,11 @@
       return;
     }
     Position lastCommit = session.lastCommit(route.group());
+    if (ended) {
+      // Only the first statement begins a transaction at a target.
+      completeAborted(HAS_ENDED);
+      return;
+    }
     OperationScope scope = new OperationScope(route, organisation, allowed);
     search = new TargetSearch(context, scope, next.id(), readOnly, lastCommit, receivedNanos, this);
     search.tryNext();
@@ -98,6 +105,12 @@
   /** Sends the statement unless a new declaration no longer allows the region of the target. */
   private void sendIfAllowed(AllowedRegions allowed) {
     if (allowed.allowsTarget(context.regionOf(connection.target()))) {
+    if (!connection.isOpen()) {
+      // Nothing of the statement was sent; the target has rolled back what was open.
+      finish();
+      completeAborted(CONNECTION_LOST);
+      return;
+    }
       send();
       return;
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessage.java
@@ -97,12 +97,24 @@
   /** Response to a {@link TokenRequest}. */
   record TokenResponse(GrantAnswer answer) implements PeerMessage {}
 
+  /**
+   * The transaction that a forwarded statement belongs to.
+   *
+   * @param number number of the caller's transaction, 0 outside one; unique on the link
+   * @param begun whether the home has answered an earlier statement of it; a home that does not
+   *     have the transaction must not begin it then. Senders of earlier versions do not say so
+   */
+  record TransactionRef(long number, boolean begun) {
+    /** No transaction. */
+    static final TransactionRef NONE = new TransactionRef(0, false);
+  }
+
   /**
    * Forwards a caller's statement to the home of its group, with the session state that the home
    * needs. Never carries the caller's key.
    *
    * @param correlation echoed in the result
-   * @param transaction the caller's transaction, 0 outside one; unique on the link
+   * @param transaction the caller's transaction
    * @param readOnly whether the transaction is read-only
    * @param organisation organisation that the statement runs for
    * @param route route in force, without its database
@@ -116,7 +128,7 @@
    */
   record Forward(
       long correlation,
-      long transaction,
+      TransactionRef transaction,
       boolean readOnly,
       String organisation,
       Route route,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -12,14 +12,17 @@
 import java.util.function.Consumer;
 
 /**
- * A transaction that runs at its group's home. All its statements go to the home of the first one.
+ * A transaction that runs at its group's home. All its statements go to the home of the first one,
+ * over the same connection.
  *
- * <p>Invariant: when the link is lost, the transaction is reported as rolled back only if no commit
- * was sent over it; the home rolls back transactions that are open on a link when it closes. Thread
+ * <p>Invariant: the home rolls back the transactions that are open on a connection when it closes.
+ * So a transaction has ended once the connection of its first statement is lost, even if the link
+ * has been opened again since; it is reported as rolled back only if no commit was sent. Thread
  * safety: confined to the loop's thread.
  */
 final class RemoteTransaction implements OpenTransaction {
   private static final int MAX_HOME_ATTEMPTS = 1;
+  private static final String LOST = "connection to home lost";
 
   private final EventLoop loop;
   private final HomeRouter homes;
@@ -30,6 +33,8 @@
   private final Runnable onRefused;
   private OutboundPeerLink link;
   private OutboundForwards.Forwarded forwarded;
+  // Of the connection that carries the transaction.
+  private long connectionNumber;
   private long transactionNumber;
   private boolean begun;
   private boolean wrote;
@@ -65,8 +70,11 @@
     SessionState after = commit ? SessionState.IDLE : SessionState.FAILED;
     if (link == null) {
       boolean needsPrimary = SingleStatement.needsPrimary(route, !readOnly);
-      link = homes.remoteLink(route.group(), needsPrimary, allowed);
-      transactionNumber = link == null ? 0 : link.nextTransactionNumber();
+      selectLink(homes.remoteLink(route.group(), needsPrimary, allowed));
+    }
+    if (begun && hasLostConnection()) {
+      onOutcome.accept(StatementOutcome.failed(FailureCode.ABORTED, LOST, after));
+      return;
     }
     if (link == null || !link.isUp()) {
       onOutcome.accept(homeUnreachable(after));
@@ -122,7 +130,14 @@
     OutboundForwards.Forwarded added =
         link.forward(
             session.forwardMessage(
-                next, transactionNumber, readOnly, organisation, route, counted, ageMs, allowed),
+                next,
+                new PeerMessage.TransactionRef(transactionNumber, begun),
+                readOnly,
+                organisation,
+                route,
+                counted,
+                ageMs,
+                allowed),
             delivery,
             listener);
     // A statement that ended meanwhile may have been sent to another home.
@@ -131,6 +146,18 @@
     }
   }
 
+  private void selectLink(OutboundPeerLink selected) {
+    link = selected;
+    if (selected != null) {
+      connectionNumber = selected.connectionNumber();
+      transactionNumber = selected.nextTransactionNumber();
+    }
+  }
+
+  private boolean hasLostConnection() {
+    return link.connectionNumber() != connectionNumber;
+  }
+
   /** Nothing was sent, so that an open transaction is rolled back and a new one did not begin. */
   private StatementOutcome tooManyOutstanding(SessionState after, long retryAfterMs) {
     return StatementOutcome.failed(
@@ -153,10 +180,10 @@
 
   private StatementOutcome connectionLost(boolean commit, SessionState after) {
     if (!commit) {
-      return StatementOutcome.failed(FailureCode.ABORTED, "connection to home lost", after);
+      return StatementOutcome.failed(FailureCode.ABORTED, LOST, after);
     }
     FailureCode code = wrote ? FailureCode.IN_DOUBT : FailureCode.FAILED;
-    return StatementOutcome.failed(code, "connection to home lost", after);
+    return StatementOutcome.failed(code, LOST, after);
   }
 
   private StatementOutcome settle(boolean commit, StatementOutcome outcome) {
@@ -173,7 +200,7 @@
       // Sent after the end of the transaction, a statement would begin another one.
       forwarded.drop();
     }
-    if (link != null) {
+    if (link != null && !hasLostConnection()) {
       link.send(new PeerMessage.EndTransaction(transactionNumber));
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RunningForwards.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RunningForwards.java
@@ -37,7 +37,7 @@
     private Running(InboundPeerLink link, PeerMessage.Forward forward) {
       this.link = link;
       correlation = forward.correlation();
-      transaction = forward.transaction();
+      transaction = forward.transaction().number();
     }
 
     /** Returns whether the statement was cancelled. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -43,7 +43,7 @@
    */
   PeerMessage.Forward forwardMessage(
       Statement statement,
-      long transaction,
+      PeerMessage.TransactionRef transaction,
       boolean readOnly,
       String organisation,
       Route route,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -97,7 +97,7 @@
         home.forward(
             session.forwardMessage(
                 statement,
-                0,
+                PeerMessage.TransactionRef.NONE,
                 false,
                 admission.organisation(),
                 route,
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
@@ -106,7 +106,7 @@
     return link.forward(
         new PeerMessage.Forward(
             0,
-            0,
+            PeerMessage.TransactionRef.NONE,
             false,
             "red",
             route,
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
@@ -28,9 +28,13 @@
 
 class PeerMessageCodecTest {
   private static PeerMessage.Forward forward(AllowedRegions allowed) {
+    return forward(allowed, false);
+  }
+
+  private static PeerMessage.Forward forward(AllowedRegions allowed, boolean begun) {
     return new PeerMessage.Forward(
         4,
-        9,
+        new PeerMessage.TransactionRef(9, begun),
         true,
         "red",
         new Route("", "g", Consistency.BOUNDED_STALENESS, 800, 250, 1, 1_500, true, Set.of()),
@@ -46,6 +50,7 @@
   static List<PeerMessage> messages() {
     return List.of(
         forward(AllowedRegions.ALL),
+        forward(AllowedRegions.ALL, true),
         forward(AllowedRegions.of(Set.of("north", "south"), Set.of())),
         forward(AllowedRegions.of(Set.of("north"), Set.of("south"))),
         new PeerMessage.Ping("gw-1", 7, true, 3),
@@ -93,12 +98,21 @@
     OutBuffer out = new OutBuffer();
     PeerMessageCodec.write(out, message);
     byte[] bytes = out.toBytes();
-    // The previous version ends before the flag and the empty list, of one byte each.
-    ByteBuffer previous = ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length - 2));
+    // That version ends before the flag and the empty list, of one byte each, and what follows.
+    ByteBuffer previous = ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length - 3));
     previous.putInt(0, previous.remaining() - Integer.BYTES);
     assertThat(PeerMessageCodec.read(previous)).isEqualTo(message);
   }
 
+  /** Guards against a fleet that refuses all transactions while it is being updated. */
+  @Test
+  void forwardOfPreviousVersionDoesNotSayThatItsTransactionHasBegun() {
+    byte[] bytes = frame(forward(AllowedRegions.ALL, true));
+    ByteBuffer previous = ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length - 1));
+    previous.putInt(0, previous.remaining() - Integer.BYTES);
+    assertThat(PeerMessageCodec.read(previous)).isEqualTo(forward(AllowedRegions.ALL, false));
+  }
+
   /** Guards against requests for tokens that the previous version cannot read. */
   @Test
   void tokenRequestWithoutUrgentOperationsIsThatOfThePreviousVersion() {
