Promote no target that may lack an acknowledged commit

Cause: the choice was made among the reports that came within 300 ms from targets that may stay. A draining target was not even asked, since its pool is drained. Nothing compared that with what may have been acknowledged.

Change: where a group declares syncReplicas = k, the most advanced of n - k + 1 reports is promoted, of the n logs that may hold commits: of all registered replicas, and of those that LogHolders remembers (entries removed, restarts without the log, a primary promoted just before). Reports count however late they are. A leaving target that alone has the last commits is promoted and replaced in its turn, under the same lease and fence. A planned change waits until a replica that stays has the primary's log. Groups without syncReplicas are changed as before.

The lease of an attempt has a class of its own now.

--- a/core/src/main/java/io/hickorydrift/core/directory/Directory.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/Directory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * All registered targets, by group.
@@ -26,6 +27,7 @@
   private final Consumer<TargetState> onRemoved;
   private long changeCount;
   private final Evacuations evacuations;
+  private final LongSupplier nowNanos;
 
   /**
    * Creates an empty directory; {@code onRemoved} receives targets that were removed or replaced.
@@ -39,8 +41,15 @@
    * among {@code evacuations}.
    */
   public Directory(Consumer<TargetState> onRemoved, Evacuations evacuations) {
+    this(onRemoved, evacuations, () -> 0);
+  }
+
+  /** Creates an empty directory that records with {@code nowNanos} when targets depart. */
+  public Directory(
+      Consumer<TargetState> onRemoved, Evacuations evacuations, LongSupplier nowNanos) {
     this.onRemoved = onRemoved;
     this.evacuations = evacuations;
+    this.nowNanos = nowNanos;
   }
 
   /** Returns the group {@code name}; it is empty if no target is registered for it. */
@@ -101,7 +110,22 @@
             && known.entry().address().equals(entry.address());
     if (sameProcess) {
       known.update(entry, position);
-      return true;
+    } else {
+      replace(known, entry, position);
+    }
+    GroupState group = group(entry.group());
+    group.logHolders().recordEntry(entry);
+    if (group.primary() != null) {
+      group.logHolders().recordPrimary(group.primary().entry(), nowNanos.getAsLong());
+    }
+    return true;
+  }
+
+  private void replace(TargetState known, TargetEntry entry, StorePosition position) {
+    if (known != null && known.entry().startedAtMs() != entry.startedAtMs()) {
+      group(known.entry().group())
+          .logHolders()
+          .recordDeparture(known.entry(), nowNanos.getAsLong());
     }
     forget(entry.id());
     departed.remove(entry.id());
@@ -109,7 +133,6 @@
     group(entry.group())
         .targetsById()
         .put(entry.id(), new TargetState(entry, position, evacuations));
-    return true;
   }
 
   private boolean isOutdated(TargetEntry entry, StorePosition position, TargetState known) {
@@ -126,6 +149,9 @@
   public void remove(String id) {
     TargetState removed = forget(id);
     if (removed != null) {
+      group(removed.entry().group())
+          .logHolders()
+          .recordDeparture(removed.entry(), nowNanos.getAsLong());
       departed.put(id, removed);
       if (departed.size() > MAX_DEPARTED) {
         departed.remove(departed.keySet().iterator().next());
--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -19,6 +19,7 @@
   private final String name;
   private final Map<String, TargetState> targets = new LinkedHashMap<>();
   private final ObservedPositions observedPositions = new ObservedPositions();
+  private final LogHolders logHolders = new LogHolders(observedPositions);
   private final RetryBudget retryBudget = new RetryBudget();
   private final PrimaryRecoveryEstimator recoveryEstimator = new PrimaryRecoveryEstimator();
 
@@ -50,6 +51,11 @@
     return recoveryEstimator;
   }
 
+  /** Returns the targets beside the replicas that may hold acknowledged commits. */
+  public LogHolders logHolders() {
+    return logHolders;
+  }
+
   /** Returns the observed positions of the primary. */
   public ObservedPositions observedPositions() {
     return observedPositions;
--- a/core/src/main/java/io/hickorydrift/core/freshness/ObservedPositions.java
+++ b/core/src/main/java/io/hickorydrift/core/freshness/ObservedPositions.java
@@ -22,9 +22,28 @@
   private final Position[] positions = new Position[CAPACITY];
   private int newest = -1;
   private int count;
+  private Position baseline;
+  private long baselineNanos;
+  private boolean awaitsBaseline;
+
+  /** Makes the next position that is observed after {@code sinceNanos} the baseline. */
+  public void beginBaseline(long sinceNanos) {
+    baseline = null;
+    baselineNanos = sinceNanos;
+    awaitsBaseline = true;
+  }
+
+  /** Returns the first position observed since {@link #beginBaseline}, or null. */
+  public Position baseline() {
+    return baseline;
+  }
 
   /** Adds a position returned by an exchange that was sent at {@code sentNanos}. */
   public void add(Position position, long sentNanos) {
+    if (awaitsBaseline && sentNanos - baselineNanos >= 0) {
+      baseline = position;
+      awaitsBaseline = false;
+    }
     if (count > 0 && sentNanos - sentTimesNanos[newest] < 0) {
       return;
     }
--- a/core/src/main/java/io/hickorydrift/core/promotion/PromotionCandidates.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/PromotionCandidates.java
@@ -28,15 +28,27 @@
   public static TargetState mostAdvanced(
       Map<TargetState, Position> received, RegionPreference preference, long nowNanos) {
     Comparator<TargetState> order =
-        Comparator.<TargetState, Position>comparing(received::get, Positions::compare)
+        byPosition(received)
             .thenComparing(target -> !target.isCold(nowNanos))
             .thenComparing(target -> target.entry().failureDomain(), preference);
-    TargetState best = null;
-    for (TargetState each : received.keySet()) {
-      if (!each.isLeaving() && (best == null || order.compare(each, best) > 0)) {
-        best = each;
-      }
-    }
-    return best;
+    return received.keySet().stream().filter(each -> !each.isLeaving()).max(order).orElse(null);
+  }
+
+  /**
+   * Returns the target with the latest position, or null if there is none. Of several such targets,
+   * one that is not leaving is preferred, then one that is draining to one in an evacuated failure
+   * domain.
+   */
+  static TargetState mostAdvancedOfAll(Map<TargetState, Position> received, long nowNanos) {
+    Comparator<TargetState> order =
+        byPosition(received)
+            .thenComparing(target -> !target.isLeaving())
+            .thenComparing(target -> !target.isEvacuated())
+            .thenComparing(target -> !target.isCold(nowNanos));
+    return received.keySet().stream().max(order).orElse(null);
+  }
+
+  private static Comparator<TargetState> byPosition(Map<TargetState, Position> received) {
+    return Comparator.comparing(received::get, Positions::compare);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -94,7 +94,7 @@
     Evacuations evacuated = new Evacuations();
     evacuations =
         new EvacuationService(loop, platform, evacuated, metrics, settings.evacuationMs() / 2);
-    directory = new Directory(this::onTargetRemoved, evacuated);
+    directory = new Directory(this::onTargetRemoved, evacuated, loop::nowNanos);
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
     prober = new PrimaryProber(loop, directory, pools, declarations, homes, steps);
@@ -129,16 +129,11 @@
             startHold);
     promotions =
         new PromotionController(
-            loop,
-            store,
-            promotionClient,
+            new PromotionServices(loop, store, promotionClient, pools, declarations, settings.id()),
             directory,
-            declarations,
-            pools,
             prober,
             peers,
-            homes,
-            settings.id());
+            homes);
     StoreContents contents =
         new StoreContents(
             loop, platform, declarations, directory, fleet, evacuations, peers::isUp, steps);
--- /dev/null
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -0,0 +1,59 @@
+package io.hickorydrift.proxy.gateway;
+
+import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.proxy.net.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Queries the positions that targets have received, on any connection that is idle.
+ *
+ * <p>Invariant: each query is answered once, by its deadline. Thread safety: confined to the loop's
+ * thread.
+ */
+final class PositionQueries {
+  private static final int HIGHEST_PRIORITY = 0;
+
+  private final EventLoop loop;
+  private final TargetPools pools;
+  private final Declarations declarations;
+
+  PositionQueries(EventLoop loop, TargetPools pools, Declarations declarations) {
+    this.loop = loop;
+    this.pools = pools;
+    this.declarations = declarations;
+  }
+
+  /**
+   * Queries the position that {@code target} has received; {@code onPosition} gets null if it does
+   * not report one within {@code timeoutMs}.
+   */
+  void query(TargetState target, long timeoutMs, Consumer<Position> onPosition) {
+    long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    String organisation =
+        declarations.current().organisations().keySet().stream().findFirst().orElse("-");
+    TargetPool pool = pools.poolForReports(target);
+    AcquireListener listener =
+        new AcquireListener() {
+          @Override
+          public void acquired(TargetConnection connection) {
+            pools.requestReport(
+                connection,
+                deadlineNanos,
+                report -> onPosition.accept(report == null ? null : report.received()));
+          }
+
+          @Override
+          public void refused(String reason) {
+            onPosition.accept(null);
+          }
+        };
+    TargetConnection idle = pool.pollIdle();
+    if (idle != null) {
+      listener.acquired(idle);
+    } else {
+      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, listener);
+    }
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -1,27 +1,20 @@
 package io.hickorydrift.proxy.gateway;
 
 import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.directory.LogHolders;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.promotion.DurableChoice;
 import io.hickorydrift.core.promotion.PositionSurvey;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
 import io.hickorydrift.core.promotion.PromotionCandidates;
-import io.hickorydrift.core.store.StorePosition;
 import io.hickorydrift.proxy.net.EventLoop;
-import io.hickorydrift.proxy.port.KeyValueStore;
-import io.hickorydrift.proxy.port.KeyValueStore.Condition;
-import io.hickorydrift.proxy.port.KeyValueStore.Put;
-import io.hickorydrift.proxy.port.KeyValueStore.Status;
-import io.hickorydrift.proxy.port.KeyValueStore.UpdateResult;
-import io.hickorydrift.proxy.port.KeyValueStore.Write;
 import io.hickorydrift.proxy.port.PromotionClient;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -29,61 +22,78 @@
  * positions that the replicas have received, requests the promotion of the most advanced one, and
  * waits until it is the primary.
  *
+ * <p>Where commits are acknowledged only once replicas have received them, the replicas are
+ * surveyed until {@link DurableChoice} shows that no such commit is lost, for up to {@link
+ * #MAX_DURABLE_WAIT_MS}. A target that is leaving may be promoted then; the attempt goes on to
+ * replace it in its turn, under the same lease.
+ *
  * <p>Invariant: promotion requests carry the fence of this lease; after a refusal no further
  * request is sent under it. A request without a response may still be carried out, so it is retried
  * only for the same target. One survey of the replicas is under way at a time. Thread safety:
  * confined to the loop's thread.
  */
 final class PromotionAttempt {
-  private static final String LEASE_KEY_PREFIX = "duty/promotion/";
-  private static final int HIGHEST_PRIORITY = 0;
-  private static final long LEASE_TTL_MS = 3_000;
-  private static final long LEASE_RENEWAL_MS = 1_000;
   private static final long SURVEY_TIMEOUT_MS = 300;
   private static final long CATCH_UP_TIMEOUT_MS = 1_500;
   private static final long POLL_INTERVAL_MS = 40;
   private static final long REQUEST_RETRY_MS = 1_500;
   private static final long ATTEMPT_TIMEOUT_MS = 8_000;
+  // By then a replica that another instance reaches should be surveyed by that one.
+  private static final long SURVEY_TURN_MS = 2_500;
+
+  /**
+   * Time for which a group goes without a primary rather than lose a commit. A target that was
+   * slow, cut off or restarted has reported by then, or is taken to be lost.
+   */
+  static final long MAX_DURABLE_WAIT_MS = TimeUnit.NANOSECONDS.toMillis(LogHolders.RETURN_NANOS);
 
   private final EventLoop loop;
-  private final KeyValueStore store;
   private final PromotionClient promotionClient;
-  private final TargetPools pools;
-  private final Declarations declarations;
+  private final PositionQueries queries;
+  private final PromotionLease lease;
   private final String self;
+  private final PromotionNeed need;
   private final GroupState group;
-  private final PrimaryVerdict verdict;
-  private final long startedNanos;
-  private final TargetState oldPrimary;
-  private final boolean becauseOfEvacuation;
-  private long lease;
-  private long fence;
+  private PrimaryVerdict verdict;
+  private long startedNanos;
+  private TargetState oldPrimary;
+  private DurableSurvey durableSurvey;
   private TargetState chosen;
   private Position chosenPosition;
+  private boolean chosenIsLeaving;
+  private boolean requested;
   private boolean leaseHeldByAnother;
+  private boolean surveyIncomplete;
   private boolean ended;
-  private boolean ofEarlierEra;
-
-  PromotionAttempt(
-      EventLoop loop,
-      KeyValueStore store,
-      PromotionClient promotionClient,
-      TargetPools pools,
-      Declarations declarations,
-      String self,
-      GroupState group,
-      PrimaryVerdict verdict) {
-    this.loop = loop;
-    this.store = store;
-    this.promotionClient = promotionClient;
-    this.pools = pools;
-    this.declarations = declarations;
-    this.self = self;
-    this.group = group;
-    this.verdict = verdict;
+
+  PromotionAttempt(PromotionServices services, PromotionNeed need) {
+    loop = services.loop();
+    promotionClient = services.promotionClient();
+    queries = new PositionQueries(loop, services.pools(), services.declarations());
+    self = services.self();
+    this.need = need;
+    group = need.group();
+    verdict = need.verdict();
     startedNanos = loop.nowNanos();
     oldPrimary = group.primary();
-    becauseOfEvacuation = verdict == PrimaryVerdict.LEAVING && oldPrimary.isEvacuated();
+    lease =
+        new PromotionLease(
+            loop,
+            services.store(),
+            group.name(),
+            self,
+            new PromotionLease.Listener() {
+              @Override
+              public void acquired() {
+                onLeaseAcquired();
+              }
+
+              @Override
+              public void ended(String reason, boolean heldByAnother) {
+                leaseHeldByAnother = heldByAnother;
+                end(reason);
+              }
+            });
   }
 
   boolean ended() {
@@ -92,7 +102,7 @@
 
   /** Returns the fencing token of the attempt's requests, 0 before it has one. */
   long fence() {
-    return fence;
+    return lease.fence();
   }
 
   /** Returns whether the attempt ended because another instance holds the promotion lease. */
@@ -100,72 +110,22 @@
     return leaseHeldByAnother;
   }
 
-  void start() {
-    store.grantLease(
-        LEASE_TTL_MS,
-        result -> {
-          if (result.status() != Status.OK) {
-            end("lease not granted: " + result.status());
-            return;
-          }
-          if (ended) {
-            revoke(result.value());
-            return;
-          }
-          lease = result.value();
-          acquireLease();
-        });
-  }
-
-  private void acquireLease() {
-    String key = LEASE_KEY_PREFIX + group.name();
-    Write write =
-        new Write(
-            List.of(new Condition(key, KeyValueStore.ABSENT)),
-            List.of(new Put(key, self.getBytes(StandardCharsets.UTF_8), lease)),
-            List.of());
-    store.write(write, this::onLeaseKeyWritten);
-  }
-
-  private void onLeaseKeyWritten(UpdateResult result) {
-    if (ended) {
-      if (ofEarlierEra && result.status() == Status.OK) {
-        deleteKey(result.value());
-      }
-      return;
-    }
-    if (result.status() != Status.OK) {
-      leaseHeldByAnother = result.status() == Status.CONFLICT;
-      end("promotion lease not acquired: " + result.status());
-      return;
-    }
-    fence = new StorePosition(result.era(), result.value()).fencingToken();
-    Logger.info("event=promotion_lease_acquired group={} fence={}", group.name(), fence);
-    loop.after(LEASE_RENEWAL_MS, this::renewLease);
-    surveyReplicas();
+  /** Returns whether the attempt ended because too few replicas reported to this instance. */
+  boolean surveyIncomplete() {
+    return surveyIncomplete;
   }
 
-  /** Deletes a key that was written under the id of a lease of an earlier era. */
-  private void deleteKey(long revision) {
-    String key = LEASE_KEY_PREFIX + group.name();
-    store.write(
-        new Write(List.of(new Condition(key, revision)), List.of(), List.of(key)),
-        result -> Logger.info("event=promotion_key_deleted status={}", result.status()));
+  void start() {
+    lease.acquire();
   }
 
-  private void renewLease() {
-    if (ended) {
-      return;
+  private void onLeaseAcquired() {
+    Logger.info("event=promotion_lease_acquired group={} fence={}", group.name(), lease.fence());
+    if (need.syncReplicas() > 0) {
+      beginDurableSurvey();
+    } else {
+      surveyReplicas();
     }
-    store.renewLease(
-        lease,
-        result -> {
-          if (result.status() == Status.NOT_FOUND) {
-            end("lease lost");
-          } else {
-            loop.after(LEASE_RENEWAL_MS, this::renewLease);
-          }
-        });
   }
 
   private void surveyReplicas() {
@@ -174,7 +134,7 @@
     }
     List<TargetState> replicas = new ArrayList<>(group.targets());
     replicas.remove(oldPrimary);
-    replicas.removeIf(TargetState::isEvacuated);
+    replicas.removeIf(TargetState::isLeaving);
     PositionSurvey survey = new PositionSurvey(replicas);
     EventLoop.Timer timeout =
         loop.after(
@@ -185,8 +145,9 @@
               }
             });
     for (TargetState replica : replicas) {
-      queryPosition(
+      queries.query(
           replica,
+          SURVEY_TIMEOUT_MS,
           position -> {
             if (survey.report(replica, position)) {
               timeout.cancel();
@@ -196,35 +157,6 @@
     }
   }
 
-  /** Queries the position that {@code target} has received; null if it does not report one. */
-  private void queryPosition(TargetState target, Consumer<Position> onPosition) {
-    long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(SURVEY_TIMEOUT_MS);
-    String organisation =
-        declarations.current().organisations().keySet().stream().findFirst().orElse("-");
-    TargetPool pool = pools.poolFor(target);
-    AcquireListener listener =
-        new AcquireListener() {
-          @Override
-          public void acquired(TargetConnection connection) {
-            pools.requestReport(
-                connection,
-                deadlineNanos,
-                report -> onPosition.accept(report == null ? null : report.received()));
-          }
-
-          @Override
-          public void refused(String reason) {
-            onPosition.accept(null);
-          }
-        };
-    TargetConnection idle = pool.pollIdle();
-    if (idle != null) {
-      listener.acquired(idle);
-    } else {
-      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, listener);
-    }
-  }
-
   private void chooseCandidate(Map<TargetState, Position> received) {
     if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn()) {
       return;
@@ -234,11 +166,107 @@
       loop.after(POLL_INTERVAL_MS, this::surveyReplicas);
       return;
     }
+    choose(candidate, received.get(candidate));
+  }
+
+  private void choose(TargetState candidate, Position position) {
     chosen = candidate;
-    chosenPosition = received.get(candidate);
+    chosenPosition = position;
+    chosenIsLeaving = candidate.isLeaving();
     requestPromotion();
   }
 
+  private void beginDurableSurvey() {
+    DurableChoice choice = new DurableChoice(group, need.syncReplicas(), oldPrimary);
+    durableSurvey = new DurableSurvey(loop, queries, choice, this::chooseDurable);
+    pollDurableSurvey(durableSurvey);
+  }
+
+  private void pollDurableSurvey(DurableSurvey survey) {
+    if (ended || survey.isEnded()) {
+      return;
+    }
+    List<TargetState> targets = new ArrayList<>(group.targets());
+    if (verdict != PrimaryVerdict.LEAVING) {
+      targets.remove(oldPrimary);
+    }
+    survey.queryDue(targets);
+    chooseDurable();
+    loop.after(POLL_INTERVAL_MS, () -> pollDurableSurvey(survey));
+  }
+
+  private void chooseDurable() {
+    if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn() || endIfReachable()) {
+      return;
+    }
+    DurableChoice choice = durableSurvey.choice();
+    TargetState candidate = choice.choose(loop.nowNanos());
+    if (candidate == null && isDurableWaitOver(choice)) {
+      candidate = choice.mostAdvanced(loop.nowNanos());
+    }
+    if (candidate != null) {
+      durableSurvey.end();
+      choose(candidate, choice.receivedBy(candidate));
+    } else if (!requested && elapsedMs(startedNanos) > SURVEY_TURN_MS) {
+      surveyIncomplete = true;
+      end("survey incomplete: " + describe(choice));
+    }
+  }
+
+  /** Ends an attempt to replace a primary that has come back before another was promoted. */
+  private boolean endIfReachable() {
+    boolean reachable =
+        verdict == PrimaryVerdict.DEAD
+            && group.primary() == oldPrimary
+            && need.primaryIsReachable().getAsBoolean();
+    if (reachable) {
+      end("primary is reachable again");
+    }
+    return reachable;
+  }
+
+  /** Returns whether the group has waited for reports for as long as it may, and logs it then. */
+  private boolean isDurableWaitOver(DurableChoice choice) {
+    long waitedMs = elapsedMs(need.sinceNanos());
+    boolean over =
+        waitedMs > MAX_DURABLE_WAIT_MS
+            && !choice.primaryReports(loop.nowNanos())
+            && choice.reports() > 0;
+    if (over) {
+      Logger.warn(
+          "event=promotion_may_lose_commits group={} waited_ms={} {}",
+          group.name(),
+          waitedMs,
+          describe(choice));
+    }
+    return over;
+  }
+
+  private String describe(DurableChoice choice) {
+    long nowNanos = loop.nowNanos();
+    return "reports="
+        + choice.reports()
+        + " needed="
+        + choice.neededReports(nowNanos)
+        + " primary_reports="
+        + choice.primaryReports(nowNanos);
+  }
+
+  /** Replaces a leaving target that has been promoted, once another one has received its log. */
+  private void continueAfter(TargetState promoted) {
+    Logger.info(
+        "event=promotion_continued group={} primary={} fence={} after_ms={}",
+        group.name(),
+        promoted.entry().id(),
+        lease.fence(),
+        elapsedMs(startedNanos));
+    oldPrimary = promoted;
+    verdict = PrimaryVerdict.LEAVING;
+    startedNanos = loop.nowNanos();
+    chosen = null;
+    beginDurableSurvey();
+  }
+
   /**
    * Returns whether a candidate that has received {@code position} may be promoted. A planned
    * change waits, up to a limit, until the candidate has received the newest position observed at
@@ -256,7 +284,7 @@
     if (ended || endIfPrimaryChanged() || endIfTimedOut()) {
       return;
     }
-    if (chosen.isEvacuated()) {
+    if (chosen.isEvacuated() && !chosenIsLeaving) {
       end("candidate evacuated");
       return;
     }
@@ -265,11 +293,12 @@
         group.name(),
         chosen.entry().id(),
         chosenPosition,
-        fence,
+        lease.fence(),
         verdict,
         elapsedMs(startedNanos));
+    requested = true;
     promotionClient.requestPromotion(
-        group.name(), chosen.entry().id(), self, fence, this::onPromotionResult);
+        group.name(), chosen.entry().id(), self, lease.fence(), this::onPromotionResult);
   }
 
   private void onPromotionResult(PromotionClient.Result result) {
@@ -283,7 +312,7 @@
           "event=promotion_refused group={} target={} fence={} registered={}",
           group.name(),
           chosen.entry().id(),
-          fence,
+          lease.fence(),
           group.targets().contains(chosen));
       end("refused");
     } else if (result == PromotionClient.Result.ACCEPTED) {
@@ -304,18 +333,27 @@
     loop.after(POLL_INTERVAL_MS, () -> awaitNewPrimary(requestedNanos));
   }
 
+  /** Ends the attempt, or continues it with a leaving primary, once there is another primary. */
   private boolean endIfPrimaryChanged() {
     TargetState current = group.primary();
-    boolean changed = current != null && current != oldPrimary && !current.entry().draining();
+    if (current == null || current == oldPrimary) {
+      return false;
+    }
+    boolean asChosen = current == chosen && chosenIsLeaving;
+    if (asChosen && current.isLeaving()) {
+      continueAfter(current);
+      return true;
+    }
+    boolean changed = asChosen || !current.entry().draining();
     if (changed) {
       end("done: " + current.entry().id());
     }
     return changed;
   }
 
-  /** Ends an attempt that was made for an evacuation which has been withdrawn since. */
+  /** Ends a planned change whose reason, an evacuation, has been withdrawn. */
   private boolean endIfWithdrawn() {
-    boolean withdrawn = becauseOfEvacuation && !oldPrimary.isLeaving();
+    boolean withdrawn = verdict == PrimaryVerdict.LEAVING && !oldPrimary.isLeaving();
     if (withdrawn) {
       end("evacuation withdrawn");
     }
@@ -336,8 +374,7 @@
 
   /** Ends the attempt after the store was restored; its lease's id may be another's now. */
   void endInNewEra() {
-    ofEarlierEra = true;
-    lease = KeyValueStore.NO_LEASE;
+    lease.forget();
     end("store restored");
   }
 
@@ -351,16 +388,8 @@
         "event=promotion_ended group={} reason=\"{}\" fence={} after_ms={}",
         group.name(),
         reason,
-        fence,
+        lease.fence(),
         elapsedMs(startedNanos));
-    if (lease != KeyValueStore.NO_LEASE) {
-      revoke(lease);
-    }
-  }
-
-  private void revoke(long grantedLease) {
-    store.revokeLease(
-        grantedLease,
-        result -> Logger.debug("event=promotion_lease_released status={}", result.status()));
+    lease.release();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
@@ -1,14 +1,13 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.declaration.DeclaredGroup;
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.GroupState;
+import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.placement.Rendezvous;
 import io.hickorydrift.core.promotion.PrimaryFailureDetector;
 import io.hickorydrift.core.promotion.PrimaryReport;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
-import io.hickorydrift.proxy.net.EventLoop;
-import io.hickorydrift.proxy.port.KeyValueStore;
-import io.hickorydrift.proxy.port.PromotionClient;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,13 +34,12 @@
   // Applies while another instance holds the lease; the lease of a holder that died takes far
   // longer than this to expire.
   private static final long LEASE_RETRY_DELAY_NANOS = 500_000_000L;
+  // Each of the other instances, which may reach other replicas, tries before that.
+  private static final long SURVEY_RETRY_DELAY_NANOS = 700_000_000L;
 
-  private final EventLoop loop;
-  private final KeyValueStore store;
-  private final PromotionClient promotionClient;
+  private final PromotionServices services;
   private final Directory directory;
   private final Declarations declarations;
-  private final TargetPools pools;
   private final PrimaryProber prober;
   private final Peers peers;
   private final HomeRouter homes;
@@ -53,27 +51,19 @@
   private final Map<String, PromotionAttempt> attempts = new HashMap<>();
 
   PromotionController(
-      EventLoop loop,
-      KeyValueStore store,
-      PromotionClient promotionClient,
+      PromotionServices services,
       Directory directory,
-      Declarations declarations,
-      TargetPools pools,
       PrimaryProber prober,
       Peers peers,
-      HomeRouter homes,
-      String self) {
-    this.loop = loop;
-    this.store = store;
-    this.promotionClient = promotionClient;
+      HomeRouter homes) {
+    this.services = services;
     this.directory = directory;
-    this.declarations = declarations;
-    this.pools = pools;
+    declarations = services.declarations();
     this.prober = prober;
     this.peers = peers;
     this.homes = homes;
-    this.self = self;
-    loop.clock().onClockPause(this::endAllAttempts);
+    self = services.self();
+    services.loop().clock().onClockPause(this::endAllAttempts);
   }
 
   /** Ends all attempts after the store was restored: their leases and keys may be another's. */
@@ -99,6 +89,8 @@
         attempts.remove(group.name());
         if (attempt.leaseHeldByAnother()) {
           leaseRetryNanos.put(group.name(), nowNanos + LEASE_RETRY_DELAY_NANOS);
+        } else if (attempt.surveyIncomplete()) {
+          leaseRetryNanos.put(group.name(), nowNanos + SURVEY_RETRY_DELAY_NANOS);
         }
       }
       PrimaryVerdict verdict = evaluatePrimary(group);
@@ -139,13 +131,25 @@
         verdict,
         group.primary() == null ? "none" : group.primary().entry().id(),
         prober.unreachableMs(group.primary()));
+    TargetState primary = group.primary();
     PromotionAttempt attempt =
         new PromotionAttempt(
-            loop, store, promotionClient, pools, declarations, self, group, verdict);
+            services,
+            new PromotionNeed(
+                group,
+                verdict,
+                sinceNanos,
+                syncReplicas(group.name()),
+                () -> prober.unreachableMs(primary) == 0));
     attempts.put(group.name(), attempt);
     attempt.start();
   }
 
+  private int syncReplicas(String group) {
+    DeclaredGroup declared = declarations.current().groups().get(group);
+    return declared == null ? 0 : declared.syncReplicas();
+  }
+
   private int rank(String group) {
     List<String> liveInstances = new ArrayList<>(List.of(self));
     List<String> observers = homes.observers(group);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -33,7 +33,7 @@
   private final Declarations declarations;
   private WaitObserver observer = NO_OBSERVER;
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
-  // Pools of evacuated targets, which run no statements.
+  // Pools of leaving targets, which run no statements.
   private final Map<TargetState, TargetPool> reportPools = new HashMap<>();
 
   TargetPools(EventLoop loop, TargetCodec codec, HomeRouter homes, Declarations declarations) {
@@ -62,11 +62,11 @@
   }
 
   /**
-   * Returns the pool for connections on which the target's reports are requested. That of an
-   * evacuated target has one connection and is used for nothing else.
+   * Returns the pool for connections on which the target's reports are requested. That of a leaving
+   * target, whose other pool is drained, has one connection and is used for nothing else.
    */
   TargetPool poolForReports(TargetState target) {
-    return target.isEvacuated()
+    return target.isLeaving()
         ? reportPools.computeIfAbsent(
             target,
             key ->
@@ -153,7 +153,7 @@
       }
     }
     for (TargetPool pool : List.copyOf(reportPools.values())) {
-      if (pool.target().isEvacuated()) {
+      if (pool.target().isLeaving()) {
         pool.tick(nowNanos);
       } else {
         closeReportPool(pool.target());
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -41,7 +41,8 @@
     }
     GroupState group = directory.group("g");
     return new PromotionAttempt(
-        loop, store, null, pools, declarations, "gw-0", group, PrimaryVerdict.DEAD);
+        new PromotionServices(loop, store, null, pools, declarations, "gw-0"),
+        new PromotionNeed(group, PrimaryVerdict.DEAD, loop.nowNanos(), 0, () -> false));
   }
 
   @Test
