Run commits under the acknowledged session values

Cause: LocalTransaction prepared the connection for every statement but the commit.

Change: all statements go through the one place that prepares a connection. A commit is sent only once the target has answered the commands that set values: if one is refused, nothing of the commit has been sent, and ABORTED is true.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -42,6 +42,7 @@
   private boolean taken;
   private long takenNanos;
   private boolean wrote;
+  private boolean commitSent;
   private boolean ended;
   private String abortReason;
   private Statement statement;
@@ -91,12 +92,12 @@
       sendIfAllowed(allowed);
       return;
     }
-    Position lastCommit = session.lastCommit(route.group());
     if (ended) {
       // Only the first statement begins a transaction at a target.
       completeAborted(HAS_ENDED);
       return;
     }
+    Position lastCommit = session.lastCommit(route.group());
     OperationScope scope = new OperationScope(route, organisation, allowed);
     search = new TargetSearch(context, scope, next.id(), readOnly, lastCommit, receivedNanos, this);
     search.tryNext();
@@ -104,13 +105,13 @@
 
   /** Sends the statement unless a new declaration no longer allows the region of the target. */
   private void sendIfAllowed(AllowedRegions allowed) {
-    if (allowed.allowsTarget(context.regionOf(connection.target()))) {
     if (!connection.isOpen()) {
       // Nothing of the statement was sent; the target has rolled back what was open.
       finish();
       completeAborted(CONNECTION_LOST);
       return;
     }
+    if (allowed.allowsTarget(context.regionOf(connection.target()))) {
       send();
       return;
     }
@@ -157,18 +158,39 @@
     send();
   }
 
+  /**
+   * Sends the statement after the session values. A commit is sent only once the target has set
+   * them: of one that was sent and whose connection is then closed, the outcome is unknown.
+   */
   private void send() {
+    if (statement.kind() == StatementKind.COMMIT) {
+      session.applyValues(connection, deadlineNanos, this::sendCommit);
+    } else {
+      wrote |= session.writes(statement);
+      sendStatement();
+    }
+  }
+
+  private void sendCommit() {
+    if (ended) {
+      return;
+    }
+    if (!connection.isOpen()) {
+      finish();
+      completeAborted(CONNECTION_LOST);
+      return;
+    }
+    commitSent = true;
+    sendStatement();
+  }
+
+  private void sendStatement() {
     TargetState target = connection.target();
     boolean commit = statement.kind() == StatementKind.COMMIT;
-    wrote |= !commit && session.writes(statement);
     target.recordSent();
     countRequest(target);
-    TargetCommand command =
-        commit
-            ? new TargetCommand.Run(statement.id(), statement.text(), null)
-            : session.prepareCommand(statement, connection, null, deadlineNanos);
     connection.run(
-        command,
+        session.prepareCommand(statement, connection, null, deadlineNanos),
         deadlineNanos,
         reply -> {
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
@@ -279,10 +301,7 @@
    * sent and is not answered yet. Returns whether it did.
    */
   boolean abortForEvacuation() {
-    boolean committing =
-        onOutcome != null
-            && statement.kind() == StatementKind.COMMIT
-            && connection.hasPendingCommands();
+    boolean committing = onOutcome != null && commitSent && connection.hasPendingCommands();
     if (committing) {
       return false;
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -15,7 +15,7 @@
 /**
  * State of a caller's session: its values, its prepared statements and the positions of its own
  * commits. The values and the prepared statements are applied to a target connection before each
- * statement.
+ * statement, commits included.
  *
  * <p>Thread safety: confined to the loop's thread.
  */
@@ -94,6 +94,14 @@
     return statement.kind() == StatementKind.WRITE;
   }
 
+  /**
+   * Sends the session values on {@code connection}, and calls {@code onAnswered} once the target
+   * has answered; the connection is closed then unless the values are set.
+   */
+  void applyValues(TargetConnection connection, long deadlineNanos, Runnable onAnswered) {
+    connection.applySessionValues(values, deadlineNanos, onAnswered);
+  }
+
   /**
    * Sends the session values and the prepared statement that {@code statement} needs on {@code
    * connection}. Returns the command that runs the statement.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -158,19 +158,45 @@
     codec.writeCommand(channel.out(), pending.command);
   }
 
-  /** Sets the session values to {@code wanted}; sends nothing if they already match. */
+  /**
+   * Sets the session values to {@code wanted}; sends nothing if they already match. Commands that
+   * are sent after this call follow those that set the values; the connection closes if the target
+   * refuses one of these.
+   */
   void applySessionValues(Map<String, String> wanted, long deadlineNanos) {
+    applySessionValues(wanted, deadlineNanos, () -> {});
+  }
+
+  /**
+   * Sets the session values as {@link #applySessionValues(Map, long)} does, and calls {@code
+   * onAnswered} once the target has answered; the connection is closed then unless they are set.
+   */
+  void applySessionValues(Map<String, String> wanted, long deadlineNanos, Runnable onAnswered) {
+    List<TargetCommand> commands = new ArrayList<>();
     if (!wanted.keySet().containsAll(sessionValues.keySet())) {
       sessionValues.clear();
       preparedNames.clear();
-      run(new TargetCommand.Reset(), deadlineNanos, this::closeUnlessOk);
+      commands.add(new TargetCommand.Reset());
     }
     wanted.forEach(
         (name, value) -> {
           if (!value.equals(sessionValues.put(name, value))) {
-            run(new TargetCommand.SetValue(name, value), deadlineNanos, this::closeUnlessOk);
+            commands.add(new TargetCommand.SetValue(name, value));
           }
         });
+    if (commands.isEmpty()) {
+      onAnswered.run();
+      return;
+    }
+    TargetCommand last = commands.remove(commands.size() - 1);
+    commands.forEach(each -> run(each, deadlineNanos, this::closeUnlessOk));
+    run(
+        last,
+        deadlineNanos,
+        reply -> {
+          closeUnlessOk(reply);
+          onAnswered.run();
+        });
   }
 
   /** Prepares {@code statement} at the target under its shared name, unless already prepared. */
