Reject odd entries of targets as a whole

An unreadable value under the key of a target removed the target.

Cause: the decoder replaced invalid fields by defaults, so that the entry named a target that does not exist; an unreadable value counted as a departure.

What is known of a target stays for 4 s, within which its heartbeats replace a foreign value under its key. Hosts of addresses have valid octets; other text was looked up as a name, which blocks the event loop. A primary whose address is known to be another process's is the last choice.

--- a/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/GroupState.java
@@ -64,19 +64,25 @@
   /**
    * Returns the primary according to the entries of the targets, or null. If several report
    * themselves as primary, returns the one that became primary last: the others have not yet
-   * noticed its promotion.
+   * noticed its promotion. An entry whose address is known to be another process's is the last
+   * choice.
    */
   public TargetState primary() {
     TargetState latest = null;
     for (TargetState target : targets.values()) {
-      if (target.entry().primary()
-          && (latest == null || target.primarySince().isAfter(latest.primarySince()))) {
+      if (target.entry().primary() && (latest == null || isPreferred(target, latest))) {
         latest = target;
       }
     }
     return latest;
   }
 
+  private static boolean isPreferred(TargetState target, TargetState other) {
+    return target.isRuledOut() == other.isRuledOut()
+        ? target.primarySince().isAfter(other.primarySince())
+        : other.isRuledOut();
+  }
+
   /** Returns whether the group has targets, and all of them are in evacuated failure domains. */
   public boolean isEvacuated() {
     return !targets.isEmpty() && targets.values().stream().allMatch(TargetState::isEvacuated);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -31,6 +31,8 @@
   private static final long ENTRY_RECOVERY_NANOS = 2_500_000_000L;
   // A member may use its part of a rate until its last proof expires, which is shorter.
   private static final long MEMBER_RECOVERY_MS = 5_000;
+  // A target that lives writes its entry again within three heartbeats, of 1.2 s each.
+  private static final long UNREADABLE_ENTRY_MS = 4_000;
   private static final long NO_COPY = -1;
 
   private final EventLoop loop;
@@ -269,10 +271,14 @@
       removeTarget(item.key(), true);
       return;
     }
-    TargetEntry entry = platform.decodeTarget(item.key(), item.value());
-    if (entry == null) {
-      Logger.warn("event=target_entry_unreadable key={}", item.key());
-      directory.remove(targetId(item.key()));
+    TargetEntry entry;
+    try {
+      entry = platform.decodeTarget(item.key(), item.value());
+    } catch (IllegalArgumentException e) {
+      Logger.warn("event=target_entry_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+      // Not the target's own: it stays as it is until it can be taken to be gone.
+      removals.schedule(
+          item.key(), UNREADABLE_ENTRY_MS, () -> directory.remove(targetId(item.key())));
       return;
     }
     if (!directory.put(entry, position)) {
@@ -282,8 +288,14 @@
     }
   }
 
-  /** Removes a target; {@code departed} tells whether the store says that it has left. */
+  /**
+   * Removes a target; {@code departed} tells whether the store says that it has left. Has no effect
+   * while a removal is pending, as when the entry that vanished was not the target's own.
+   */
   private void removeTarget(String key, boolean departed) {
+    if (removals.pending().contains(key)) {
+      return;
+    }
     String id = targetId(key);
     Runnable removal = departed ? () -> directory.remove(id) : () -> directory.forget(id);
     if (settled()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/Addresses.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/Addresses.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 
 /**
  * Parses addresses of the form {@code host:port}. The host is a numeric IPv4 address, so that no
@@ -12,6 +13,10 @@
  */
 public final class Addresses {
   private static final int MAX_PORT = 65_535;
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+  // Any other text would be looked up as a name.
+  private static final Pattern NUMERIC_HOST =
+      Pattern.compile(OCTET + "\\." + OCTET + "\\." + OCTET + "\\." + OCTET);
 
   private Addresses() {}
 
@@ -19,7 +24,7 @@
   public static InetSocketAddress parse(String address) throws IOException {
     int colon = address.lastIndexOf(':');
     String host = colon < 0 ? "" : address.substring(0, colon);
-    if (!host.matches("[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+")) {
+    if (!NUMERIC_HOST.matcher(host).matches()) {
       throw new IOException("not a numeric IPv4 address: " + address);
     }
     try {
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/PlatformAdapter.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/PlatformAdapter.java
@@ -39,6 +39,9 @@
   /** Decodes a declaration; throws {@link IllegalArgumentException} if it is malformed. */
   Declaration decodeDeclaration(byte[] value);
 
-  /** Decodes a target entry; returns null if it does not describe a usable target. */
+  /**
+   * Decodes a target entry; throws {@link IllegalArgumentException} if it does not describe a
+   * target.
+   */
   TargetEntry decodeTarget(String key, byte[] value);
 }
