Survey leaving targets on their own connections, and confirm commits as before

Since the change of the survey, each instance that confirms commits would have opened a connection to each draining replica, also in groups without synchronous replicas, where the other replica confirms without one. Only the survey uses it now.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
@@ -131,8 +131,8 @@
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
     AcquireListener request = reportRequest(replica, deadlineNanos, () -> pollLater(group, queue));
     TargetPool pool = pools.poolForReports(replica);
-    // The one connection to a leaving target serves all organisations.
-    TargetConnection idle = replica.isLeaving() ? pool.pollIdle() : null;
+    // The one connection to an evacuated target serves all organisations.
+    TargetConnection idle = replica.isEvacuated() ? pool.pollIdle() : null;
     if (idle != null) {
       request.acquired(idle);
     } else {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -33,7 +33,7 @@
     long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     String organisation =
         declarations.current().organisations().keySet().stream().findFirst().orElse("-");
-    TargetPool pool = pools.poolForReports(target);
+    TargetPool pool = pools.poolForSurvey(target);
     AcquireListener listener =
         new AcquireListener() {
           @Override
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -62,17 +62,28 @@
   }
 
   /**
-   * Returns the pool for connections on which the target's reports are requested. That of a leaving
-   * target, whose other pool is drained, has one connection and is used for nothing else.
+   * Returns the pool for connections on which reports that confirm commits are requested. That of
+   * an evacuated target has one connection and is used for nothing else. A draining target confirms
+   * nothing: the others do so without a further connection.
    */
   TargetPool poolForReports(TargetState target) {
-    return target.isLeaving()
-        ? reportPools.computeIfAbsent(
-            target,
-            key ->
-                new TargetPool(
-                    loop, codec, target, () -> REPORT_CONNECTIONS, () -> false, NO_OBSERVER))
-        : poolFor(target);
+    return target.isEvacuated() ? reportPool(target) : poolFor(target);
+  }
+
+  /**
+   * Returns the pool for connections on which the targets are surveyed for a promotion. That of a
+   * leaving target, whose other pool is drained, has one connection.
+   */
+  TargetPool poolForSurvey(TargetState target) {
+    return target.isLeaving() ? reportPool(target) : poolFor(target);
+  }
+
+  private TargetPool reportPool(TargetState target) {
+    return reportPools.computeIfAbsent(
+        target,
+        key ->
+            new TargetPool(
+                loop, codec, target, () -> REPORT_CONNECTIONS, () -> false, NO_OBSERVER));
   }
 
   /**
