--- a/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
@@ -25,7 +25,7 @@
 
   private final Evacuations evacuations = new Evacuations();
   private long nowNanos;
-  private long storeRevision;
+  private long entryRevision;
   private final Directory directory = new Directory(target -> {}, evacuations, () -> nowNanos);
   private final GroupState group = directory.group("g");
 
@@ -35,7 +35,7 @@
   }
 
   private TargetState put(TargetEntry entry) {
-    directory.put(entry, new StorePosition(0, ++storeRevision));
+    directory.put(entry, new StorePosition(0, ++entryRevision));
     return group.targets().stream()
         .filter(each -> each.entry().id().equals(entry.id()))
         .findFirst()
