--- a/core/src/main/java/io/hickorydrift/core/directory/Directory.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/Directory.java
@@ -106,7 +106,7 @@
     boolean sameProcess =
         known != null
             && previousGroup.equals(entry.group())
-            && known.entry().startedAtMs() == entry.startedAtMs()
+            && known.entry().isOfSameStart(entry)
             && known.entry().address().equals(entry.address());
     if (sameProcess) {
       known.update(entry, position);
@@ -122,10 +122,8 @@
   }
 
   private void replace(TargetState known, TargetEntry entry, StorePosition position) {
-    if (known != null && known.entry().startedAtMs() != entry.startedAtMs()) {
-      group(known.entry().group())
-          .logHolders()
-          .recordDeparture(known.entry(), nowNanos.getAsLong());
+    if (known != null && !known.entry().isOfSameStart(entry)) {
+      recordDeparture(known.entry());
     }
     forget(entry.id());
     departed.remove(entry.id());
@@ -135,6 +133,10 @@
         .put(entry.id(), new TargetState(entry, position, evacuations));
   }
 
+  private void recordDeparture(TargetEntry entry) {
+    group(entry.group()).logHolders().recordDeparture(entry, nowNanos.getAsLong());
+  }
+
   private boolean isOutdated(TargetEntry entry, StorePosition position, TargetState known) {
     TargetState gone = departed.get(entry.id());
     if (known != null) {
@@ -149,9 +151,7 @@
   public void remove(String id) {
     TargetState removed = forget(id);
     if (removed != null) {
-      group(removed.entry().group())
-          .logHolders()
-          .recordDeparture(removed.entry(), nowNanos.getAsLong());
+      recordDeparture(removed.entry());
       departed.put(id, removed);
       if (departed.size() > MAX_DEPARTED) {
         departed.remove(departed.keySet().iterator().next());
--- a/core/src/main/java/io/hickorydrift/core/directory/LogHolders.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/LogHolders.java
@@ -51,18 +51,12 @@
 
   /** Records that a target is registered; one that did not restart has brought its log back. */
   void recordEntry(TargetEntry entry) {
-    departures.removeIf(
-        each ->
-            each.entry.id().equals(entry.id()) && each.entry.startedAtMs() == entry.startedAtMs());
+    departures.removeIf(each -> each.entry.isOfSameStart(entry));
   }
 
   /** Records which target is the primary. */
   void recordPrimary(TargetEntry current, long nowNanos) {
-    boolean same =
-        primary != null
-            && primary.id().equals(current.id())
-            && primary.startedAtMs() == current.startedAtMs();
-    if (primary != null && !same) {
+    if (primary != null && !primary.isOfSameStart(current)) {
       primaryChanged = true;
       primaryChangedNanos = nowNanos;
       observed.beginBaseline(nowNanos);
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetEntry.java
@@ -43,6 +43,11 @@
     this(id, group, address, failureDomain, slots, draining, primary, startedAtMs, sequence, 0);
   }
 
+  /** Returns whether {@code other} is an entry of the same target since the same start. */
+  boolean isOfSameStart(TargetEntry other) {
+    return id.equals(other.id) && startedAtMs == other.startedAtMs;
+  }
+
   /** Returns whether the target wrote this entry before {@code other}. */
   public boolean isOlderThan(TargetEntry other) {
     return startedAtMs < other.startedAtMs
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CommitConfirmations.java
@@ -24,7 +24,6 @@
  * confined to the loop's thread.
  */
 final class CommitConfirmations {
-  private static final int HIGHEST_PRIORITY = 0;
   // A replica receives a commit within a round trip between failure domains.
   private static final long POLL_INTERVAL_MS = 4;
   private static final long REPORT_TIMEOUT_NANOS = 100_000_000L;
@@ -131,12 +130,11 @@
     long deadlineNanos = loop.nowNanos() + REPORT_TIMEOUT_NANOS;
     AcquireListener request = reportRequest(replica, deadlineNanos, () -> pollLater(group, queue));
     TargetPool pool = pools.poolForReports(replica);
-    // The one connection to an evacuated target serves all organisations.
-    TargetConnection idle = replica.isEvacuated() ? pool.pollIdle() : null;
-    if (idle != null) {
-      request.acquired(idle);
+    if (replica.isEvacuated()) {
+      // The one connection to it serves all organisations.
+      pool.acquireAny(organisation, deadlineNanos, request);
     } else {
-      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, request);
+      pool.acquire(organisation, deadlineNanos, request);
     }
   }
 
@@ -178,7 +176,7 @@
     if (idle != null) {
       request.acquired(idle);
     } else {
-      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, request);
+      pool.acquire(organisation, deadlineNanos, request);
     }
     if (!round.hasNext() || queue.round != round || queue.pending.isEmpty()) {
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ConnectionWaiters.java
@@ -15,6 +15,8 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class ConnectionWaiters {
+  private static final int HIGHEST_PRIORITY = 0;
+
   /**
    * A request and its listener.
    *
@@ -55,13 +57,12 @@
   }
 
   /** Returns a request for an exchange of the instance, which ages within its deadline. */
-  Waiter ownExchange(
-      String organisation, int priority, long deadlineNanos, AcquireListener listener) {
+  Waiter ownExchange(String organisation, long deadlineNanos, AcquireListener listener) {
     long nowNanos = loop.nowNanos();
     long objectiveNanos = Math.max(0, deadlineNanos - nowNanos);
     WaitingRequest request =
         new WaitingRequest(
-            organisation, priority, nowNanos, nowNanos, objectiveNanos, deadlineNanos, 0);
+            organisation, HIGHEST_PRIORITY, nowNanos, nowNanos, objectiveNanos, deadlineNanos, 0);
     return new Waiter(request, listener, false, 0);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -104,6 +104,11 @@
     return current;
   }
 
+  /** Returns a declared organisation, for an exchange that is the same for each; "-" if none. */
+  String anyOrganisation() {
+    return current.organisations().keySet().stream().findFirst().orElse("-");
+  }
+
   /** Returns whether {@code group} has urgent work. */
   boolean isUrgent(String group) {
     return urgentGroups.contains(group);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -44,7 +44,8 @@
   private boolean wrote;
   private boolean commitSent;
   private boolean ended;
-  private String abortReason;
+  // Why the transaction was rolled back, once it has ended.
+  private String abortReason = HAS_ENDED;
   private Statement statement;
   private long deadlineNanos;
   private Consumer<StatementOutcome> onOutcome;
@@ -84,7 +85,8 @@
     statement = next;
     onOutcome = onResult;
     deadlineNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMs());
-    if (abortReason != null) {
+    if (ended) {
+      // Only the first statement begins a transaction at a target.
       completeAborted(abortReason);
       return;
     }
@@ -92,11 +94,6 @@
       sendIfAllowed(allowed);
       return;
     }
-    if (ended) {
-      // Only the first statement begins a transaction at a target.
-      completeAborted(HAS_ENDED);
-      return;
-    }
     Position lastCommit = session.lastCommit(route.group());
     OperationScope scope = new OperationScope(route, organisation, allowed);
     search = new TargetSearch(context, scope, next.id(), readOnly, lastCommit, receivedNanos, this);
@@ -107,16 +104,14 @@
   private void sendIfAllowed(AllowedRegions allowed) {
     if (!connection.isOpen()) {
       // Nothing of the statement was sent; the target has rolled back what was open.
-      finish();
-      completeAborted(CONNECTION_LOST);
+      abort(CONNECTION_LOST);
       return;
     }
     if (allowed.allowsTarget(context.regionOf(connection.target()))) {
       send();
       return;
     }
-    finish();
-    completeAborted(TargetSearch.NO_ALLOWED_TARGET);
+    abort(TargetSearch.NO_ALLOWED_TARGET);
   }
 
   @Override
@@ -164,7 +159,7 @@
    */
   private void send() {
     if (statement.kind() == StatementKind.COMMIT) {
-      session.applyValues(connection, deadlineNanos, this::sendCommit);
+      connection.applySessionValues(session.values(), deadlineNanos, this::sendCommit);
     } else {
       wrote |= session.writes(statement);
       sendStatement();
@@ -176,8 +171,7 @@
       return;
     }
     if (!connection.isOpen()) {
-      finish();
-      completeAborted(CONNECTION_LOST);
+      abort(CONNECTION_LOST);
       return;
     }
     commitSent = true;
@@ -313,6 +307,11 @@
     return true;
   }
 
+  private void abort(String reason) {
+    finish();
+    completeAborted(reason);
+  }
+
   private void completeAborted(String reason) {
     complete(StatementOutcome.failed(FailureCode.ABORTED, reason, stateAfter(statement)));
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -13,8 +13,6 @@
  * thread.
  */
 final class PositionQueries {
-  private static final int HIGHEST_PRIORITY = 0;
-
   private final EventLoop loop;
   private final TargetPools pools;
   private final Declarations declarations;
@@ -31,9 +29,6 @@
    */
   void query(TargetState target, long timeoutMs, Consumer<Position> onPosition) {
     long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    String organisation =
-        declarations.current().organisations().keySet().stream().findFirst().orElse("-");
-    TargetPool pool = pools.poolForSurvey(target);
     AcquireListener listener =
         new AcquireListener() {
           @Override
@@ -49,11 +44,6 @@
             onPosition.accept(null);
           }
         };
-    TargetConnection idle = pool.pollIdle();
-    if (idle != null) {
-      listener.acquired(idle);
-    } else {
-      pool.acquire(organisation, HIGHEST_PRIORITY, deadlineNanos, listener);
-    }
+    pools.poolForSurvey(target).acquireAny(declarations.anyOrganisation(), deadlineNanos, listener);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PrimaryProber.java
@@ -23,7 +23,6 @@
   private static final long DISTANT_PROBE_AFTER_NANOS = 1_000_000_000L;
   private static final long NO_PROBES = Long.MAX_VALUE;
   private static final long PROBE_TIMEOUT_NANOS = 350_000_000L;
-  private static final int HIGHEST_PRIORITY = 0;
   // A single failed probe may be due to its connection, not to the primary.
   private static final long UNAVAILABLE_AFTER_MS = 700;
 
@@ -128,7 +127,6 @@
   private void probe(GroupState group, TargetState primary, Reachability reachability) {
     reachability.probing = true;
     long probeStartNanos = loop.nowNanos();
-    String organisation = anyOrganisation();
     TargetPool pool = pools.poolFor(primary);
     AcquireListener listener =
         new AcquireListener() {
@@ -142,16 +140,8 @@
             probeCompleted(reachability, pool.receivedSince(probeStartNanos), probeStartNanos);
           }
         };
-    TargetConnection idle = pool.pollIdle();
-    if (idle != null) {
-      listener.acquired(idle);
-    } else {
-      pool.acquire(organisation, HIGHEST_PRIORITY, probeStartNanos + PROBE_TIMEOUT_NANOS, listener);
-    }
-  }
-
-  private String anyOrganisation() {
-    return declarations.current().organisations().keySet().stream().findFirst().orElse("-");
+    pool.acquireAny(
+        declarations.anyOrganisation(), probeStartNanos + PROBE_TIMEOUT_NANOS, listener);
   }
 
   private void sendProbe(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -94,14 +94,6 @@
     return statement.kind() == StatementKind.WRITE;
   }
 
-  /**
-   * Sends the session values on {@code connection}, and calls {@code onAnswered} once the target
-   * has answered; the connection is closed then unless the values are set.
-   */
-  void applyValues(TargetConnection connection, long deadlineNanos, Runnable onAnswered) {
-    connection.applySessionValues(values, deadlineNanos, onAnswered);
-  }
-
   /**
    * Sends the session values and the prepared statement that {@code statement} needs on {@code
    * connection}. Returns the command that runs the statement.
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -172,6 +172,10 @@
    * onAnswered} once the target has answered; the connection is closed then unless they are set.
    */
   void applySessionValues(Map<String, String> wanted, long deadlineNanos, Runnable onAnswered) {
+    if (wanted.equals(sessionValues)) {
+      onAnswered.run();
+      return;
+    }
     List<TargetCommand> commands = new ArrayList<>();
     if (!wanted.keySet().containsAll(sessionValues.keySet())) {
       sessionValues.clear();
@@ -184,10 +188,6 @@
             commands.add(new TargetCommand.SetValue(name, value));
           }
         });
-    if (commands.isEmpty()) {
-      onAnswered.run();
-      return;
-    }
     TargetCommand last = commands.remove(commands.size() - 1);
     commands.forEach(each -> run(each, deadlineNanos, this::closeUnlessOk));
     run(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -127,9 +127,22 @@
     return own == null ? pollIdle() : own;
   }
 
+  /**
+   * Requests a connection as {@link #acquire(String, long, AcquireListener)} does, for an exchange
+   * that is the same on a connection of any organisation: an idle one is taken at once.
+   */
+  void acquireAny(String organisation, long deadlineNanos, AcquireListener listener) {
+    TargetConnection idleConnection = pollIdle();
+    if (idleConnection != null) {
+      listener.acquired(idleConnection);
+    } else {
+      acquire(organisation, deadlineNanos, listener);
+    }
+  }
+
   /** Requests a connection for an exchange of the instance's own, which runs no statement. */
-  void acquire(String organisation, int priority, long deadlineNanos, AcquireListener listener) {
-    acquire(waiters.ownExchange(organisation, priority, deadlineNanos, listener));
+  void acquire(String organisation, long deadlineNanos, AcquireListener listener) {
+    acquire(waiters.ownExchange(organisation, deadlineNanos, listener));
   }
 
   /**
