Count the report of a replica for 1 s, and log what a promotion rests on

A commit acknowledged through an instance that alone reaches the primary can be lost by a promotion of the others.

Cause: a report counted for the rest of the attempt. A replica that reports and then turns silent for the holder may receive, and so confirm, commits after that; when the late report of another one arrives, the older report is taken for its log.

Change: a report counts for 1 s after its answer; targets are queried every 80 to 400 ms. event=promotion_survey (begun, chosen, incomplete) names the reports with position and age, the replicas without one, and departed targets that count; the log told only the chosen target and how many reports there were, which could not tell a late report from none.

In replicaWhoseEntryLapsedIsAwaitedForSomeTime the replica that is left reports again after 20 s, since a report of that age does not count any more; the expectations are the same.

--- a/core/src/main/java/io/hickorydrift/core/directory/LogHolders.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/LogHolders.java
@@ -65,18 +65,23 @@
   }
 
   /**
-   * Returns how many targets beside {@code present} may hold commits that a log up to {@code
-   * received} lacks.
+   * Returns the ids of the targets beside {@code present} that may hold commits that a log up to
+   * {@code received} lacks.
    */
-  public int countBeyond(Position received, Collection<TargetState> present, long nowNanos) {
+  public List<String> beyond(Position received, Collection<TargetState> present, long nowNanos) {
     departures.removeIf(each -> nowNanos - each.nanos > RETURN_NANOS);
-    int count = isPrimaryCovered(received, nowNanos) ? 0 : 1;
+    List<String> ids = new ArrayList<>();
+    if (!isPrimaryCovered(received, nowNanos)) {
+      ids.add(primary.id());
+    }
     for (Departure each : departures) {
       boolean covered =
           isReached(observed.lowerBound(each.nanos), received) || hasSuccessor(each, present);
-      count += covered ? 0 : 1;
+      if (!covered) {
+        ids.add(each.entry.id());
+      }
     }
-    return count;
+    return ids;
   }
 
   private boolean isPrimaryCovered(Position received, long nowNanos) {
--- a/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
@@ -8,6 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Chooses the target to promote in a group that acknowledges a commit only once a number of
@@ -23,16 +25,20 @@
  *
  * <p>While the primary still reports its position, a replica that stays has to reach that.
  *
- * <p>Invariant: a report counts as long as its target is registered as the same process. Thread
- * safety: confined to one thread.
+ * <p>Invariant: a report counts while its target is registered as the same process, for {@value
+ * #MAX_REPORT_AGE_MS} ms: a primary that this instance does not reach may go on acknowledging
+ * commits that the target receives after its report. Thread safety: confined to one thread.
  */
 public final class DurableChoice {
-  // The primary is queried several times in this time.
-  private static final long PRIMARY_REPORT_NANOS = 1_000_000_000L;
+  // Each target is queried several times in this time.
+  private static final long MAX_REPORT_AGE_MS = 1_000;
+  private static final long MAX_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(MAX_REPORT_AGE_MS);
+
+  private record Report(Position position, long receivedNanos) {}
 
   private final GroupState group;
   private final int syncReplicas;
-  private final Map<TargetState, Position> received = new HashMap<>();
+  private final Map<TargetState, Report> reports = new HashMap<>();
   private final TargetState primary;
   private Position primaryPosition;
   private long primaryReportNanos;
@@ -49,61 +55,116 @@
     this.primary = primary;
   }
 
-  /** Records the last position in the log of {@code target}, queried at {@code sentNanos}. */
-  public void report(TargetState target, Position position, long sentNanos) {
+  /**
+   * Records the last position in the log of {@code target}.
+   *
+   * @param sentNanos time at which the query was sent
+   * @param receivedNanos time at which the answer was received
+   */
+  public void report(TargetState target, Position position, long sentNanos, long receivedNanos) {
     if (target == primary) {
       primaryPosition = position;
       primaryReportNanos = sentNanos;
       group.observedPositions().add(position, sentNanos);
     } else {
-      received.put(target, position);
+      reports.put(target, new Report(position, receivedNanos));
     }
   }
 
   /** Returns the target to promote, or null if an acknowledged commit could be lost by that. */
   public TargetState choose(long nowNanos) {
-    forgetUnregistered();
+    Map<TargetState, Position> received = received(nowNanos);
     if (primaryReports(nowNanos)) {
       TargetState staying = PromotionCandidates.mostAdvanced(received, nowNanos);
       boolean caughtUp =
           staying != null && Positions.reaches(received.get(staying), primaryPosition);
       return caughtUp ? staying : null;
     }
-    return received.size() >= neededReports(nowNanos) ? mostAdvanced(nowNanos) : null;
+    boolean enough = received.size() >= neededReports(nowNanos);
+    return enough ? PromotionCandidates.mostAdvancedOfAll(received, nowNanos) : null;
   }
 
   /** Returns the target with the most advanced log that was reported, or null without reports. */
   public TargetState mostAdvanced(long nowNanos) {
-    forgetUnregistered();
-    return PromotionCandidates.mostAdvancedOfAll(received, nowNanos);
+    return PromotionCandidates.mostAdvancedOfAll(received(nowNanos), nowNanos);
   }
 
   /** Returns whether the primary that is replaced has reported its position just now. */
   public boolean primaryReports(long nowNanos) {
-    return primaryPosition != null && nowNanos - primaryReportNanos <= PRIMARY_REPORT_NANOS;
+    return primaryPosition != null && nowNanos - primaryReportNanos <= MAX_REPORT_AGE_NANOS;
   }
 
-  /** Returns the position that {@code target} has reported, or null. */
-  public Position receivedBy(TargetState target) {
-    return received.get(target);
+  /** Returns the position that {@code target} has reported just now, or null. */
+  public Position receivedBy(TargetState target, long nowNanos) {
+    return received(nowNanos).get(target);
   }
 
-  /** Returns the number of replicas that have reported. */
-  public int reports() {
-    return received.size();
+  /** Returns the number of replicas that have reported just now. */
+  public int reports(long nowNanos) {
+    return received(nowNanos).size();
   }
 
   /** Returns the number of replicas of which reports are needed. */
   public int neededReports(long nowNanos) {
     List<TargetState> replicas = new ArrayList<>(group.targets());
     replicas.remove(primary);
+    return Math.max(1, replicas.size() + departed(nowNanos).size() - syncReplicas + 1);
+  }
+
+  /** Returns the ids of departed targets that may hold commits which no reported log has. */
+  private List<String> departed(long nowNanos) {
+    Map<TargetState, Position> received = received(nowNanos);
     TargetState best = PromotionCandidates.mostAdvancedOfAll(received, nowNanos);
-    Position bestPosition = best == null ? null : received.get(best);
-    int others = group.logHolders().countBeyond(bestPosition, group.targets(), nowNanos);
-    return Math.max(1, replicas.size() + others - syncReplicas + 1);
+    return group.logHolders().beyond(received.get(best), group.targets(), nowNanos);
+  }
+
+  /**
+   * Returns what the choice rests on, for logs: the reports, those that are too old included, the
+   * replicas that have not reported, and the departed targets that count as such.
+   */
+  public String describe(long nowNanos) {
+    String reported =
+        reports.entrySet().stream()
+            .map(each -> describe(each.getKey(), each.getValue(), nowNanos))
+            .sorted()
+            .collect(Collectors.joining(","));
+    String missing =
+        group.targets().stream()
+            .filter(each -> each != primary && !reports.containsKey(each))
+            .map(each -> each.entry().id())
+            .sorted()
+            .collect(Collectors.joining(","));
+    return "reports=\""
+        + reported
+        + "\" missing=\""
+        + missing
+        + "\" departed=\""
+        + String.join(",", departed(nowNanos))
+        + "\" counted="
+        + reports(nowNanos)
+        + " needed="
+        + neededReports(nowNanos)
+        + " sync_replicas="
+        + syncReplicas
+        + " primary_reports="
+        + primaryReports(nowNanos);
+  }
+
+  private static String describe(TargetState target, Report report, long nowNanos) {
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - report.receivedNanos);
+    return target.entry().id() + "@" + report.position + "/" + ageMs + "ms";
   }
 
-  private void forgetUnregistered() {
-    received.keySet().retainAll(group.targets());
+  /** Returns the positions that were reported just now by targets that are registered. */
+  private Map<TargetState, Position> received(long nowNanos) {
+    reports.keySet().retainAll(group.targets());
+    Map<TargetState, Position> received = new HashMap<>();
+    reports.forEach(
+        (target, report) -> {
+          if (nowNanos - report.receivedNanos <= MAX_REPORT_AGE_NANOS) {
+            received.put(target, report.position);
+          }
+        });
+    return received;
   }
 }
--- a/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
@@ -64,9 +64,9 @@
     final TargetState behind = replica(1);
     final TargetState ahead = replica(2);
     DurableChoice choice = choice(primary);
-    choice.report(behind, at(5), 0);
+    choice.report(behind, at(5), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
-    choice.report(ahead, at(9), 0);
+    choice.report(ahead, at(9), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(ahead);
   }
 
@@ -76,7 +76,7 @@
     final TargetState first = replica(1);
     replica(2);
     DurableChoice choice = new DurableChoice(group, 2, primary);
-    choice.report(first, at(5), 0);
+    choice.report(first, at(5), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(first);
   }
 
@@ -88,13 +88,13 @@
     final TargetState evacuated = replica(3);
     evacuations.begin("zt3", new StorePosition(0, 90), 0);
     DurableChoice choice = choice(primary);
-    choice.report(evacuated, at(9), 0);
-    choice.report(draining, at(9), 0);
-    choice.report(staying, at(8), 0);
+    choice.report(evacuated, at(9), 0, nowNanos);
+    choice.report(draining, at(9), 0, nowNanos);
+    choice.report(staying, at(8), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(draining);
-    choice.report(staying, at(9), 0);
+    choice.report(staying, at(9), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(staying);
-    choice.report(evacuated, at(10), 0);
+    choice.report(evacuated, at(10), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(evacuated);
   }
 
@@ -104,11 +104,11 @@
     final TargetState staying = replica(1);
     final TargetState draining = put(entry("t2", true, false, 1));
     DurableChoice choice = choice(primary);
-    choice.report(primary, at(9), 0);
-    choice.report(draining, at(9), 0);
-    choice.report(staying, at(8), 0);
+    choice.report(primary, at(9), 0, nowNanos);
+    choice.report(draining, at(9), 0, nowNanos);
+    choice.report(staying, at(8), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
-    choice.report(staying, at(9), 0);
+    choice.report(staying, at(9), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(staying);
   }
 
@@ -119,17 +119,33 @@
     replica(2);
     directory.remove("t2");
     DurableChoice choice = choice(primary);
-    choice.report(left, at(5), 0);
+    choice.report(left, at(5), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
     final TargetState back = replica(2);
-    choice.report(back, at(4), 0);
+    choice.report(back, at(4), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(left);
     directory.remove("t2");
     assertThat(choice.choose(nowNanos)).isNull();
     nowNanos += LogHolders.RETURN_NANOS + 1;
+    choice.report(left, at(5), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(left);
   }
 
+  /** A target that has turned silent may have received commits since its report. */
+  @Test
+  void reportOfTargetThatTurnedSilentDoesNotCount() {
+    final TargetState primary = primary(0);
+    final TargetState silent = replica(1);
+    final TargetState late = replica(2);
+    DurableChoice choice = choice(primary);
+    choice.report(silent, at(5), nowNanos, nowNanos);
+    nowNanos += 1_001 * MS;
+    choice.report(late, at(8), 0, nowNanos);
+    assertThat(choice.choose(nowNanos)).isNull();
+    choice.report(silent, at(9), nowNanos, nowNanos);
+    assertThat(choice.choose(nowNanos)).isSameAs(silent);
+  }
+
   @Test
   void departedReplicaIsNotAwaitedIfAnotherHasAllThatItConfirmed() {
     final TargetState primary = primary(0);
@@ -139,9 +155,9 @@
     group.observedPositions().add(at(7), nowNanos + 200 * MS);
     nowNanos += 300 * MS;
     DurableChoice choice = choice(primary);
-    choice.report(left, at(6), nowNanos);
+    choice.report(left, at(6), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
-    choice.report(left, at(7), nowNanos);
+    choice.report(left, at(7), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(left);
   }
 
@@ -152,13 +168,13 @@
     put(entry("t2", true, false, 1));
     directory.remove("t2");
     DurableChoice choice = choice(primary);
-    choice.report(behind, at(5), 0);
+    choice.report(behind, at(5), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
     TargetEntry old = entry("t2", false, false, 1);
     TargetState successor =
         put(new TargetEntry("t7", "g", old.address(), old.failureDomain(), 3, false, false, 1, 1));
     assertThat(choice.choose(nowNanos)).isNull();
-    choice.report(successor, at(9), 0);
+    choice.report(successor, at(9), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(successor);
   }
 
@@ -169,8 +185,8 @@
     replica(2);
     final TargetState restarted = put(entry("t2", false, false, 2));
     DurableChoice choice = choice(primary);
-    choice.report(behind, at(5), 0);
-    choice.report(restarted, at(0), 0);
+    choice.report(behind, at(5), 0, nowNanos);
+    choice.report(restarted, at(0), 0, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
   }
 
@@ -183,11 +199,11 @@
     nowNanos += 100 * MS;
     final TargetState promoted = primary(2);
     DurableChoice choice = choice(promoted);
-    choice.report(behind, at(5), nowNanos);
+    choice.report(behind, at(5), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isNull();
     group.observedPositions().add(at(9), nowNanos + 10 * MS);
     assertThat(choice.choose(nowNanos)).isNull();
-    choice.report(behind, at(9), nowNanos);
+    choice.report(behind, at(9), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(behind);
   }
 
@@ -209,12 +225,13 @@
       TargetState replica = test.put(test.entry("t" + (i + 1), draining.get(i), false, 1));
       allReport &= reporting.get(i);
       if (reporting.get(i)) {
-        choice.report(replica, at(logs.get(i)), 0);
+        choice.report(replica, at(logs.get(i)), 0, test.nowNanos);
       }
     }
     TargetState chosen = choice.choose(test.nowNanos);
     if (chosen != null) {
-      assertThat(choice.receivedBy(chosen).index()).isGreaterThanOrEqualTo(acknowledged);
+      assertThat(choice.receivedBy(chosen, test.nowNanos).index())
+          .isGreaterThanOrEqualTo(acknowledged);
     }
     assertThat(allReport && chosen == null).isFalse();
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/DurableSurvey.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DurableSurvey.java
@@ -87,7 +87,7 @@
         position -> {
           sent.outstanding--;
           if (position != null && !ended) {
-            choice.report(target, position, sentNanos);
+            choice.report(target, position, sentNanos, loop.nowNanos());
             onReport.run();
           }
         });
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -121,13 +121,18 @@
 
   private void onLeaseAcquired() {
     Logger.info("event=promotion_lease_acquired group={} fence={}", group.name(), lease.fence());
-    if (need.syncReplicas() > 0) {
+    if (isDurable()) {
       beginDurableSurvey();
     } else {
       surveyReplicas();
     }
   }
 
+  /** Returns whether commits are acknowledged only once replicas have received them. */
+  private boolean isDurable() {
+    return need.syncReplicas() > 0;
+  }
+
   private void surveyReplicas() {
     if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn()) {
       return;
@@ -179,6 +184,7 @@
   private void beginDurableSurvey() {
     DurableChoice choice = new DurableChoice(group, need.syncReplicas(), oldPrimary);
     durableSurvey = new DurableSurvey(loop, queries, choice, this::chooseDurable);
+    logSurvey("begun");
     pollDurableSurvey(durableSurvey);
   }
 
@@ -199,20 +205,49 @@
     if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn() || endIfReachable()) {
       return;
     }
-    DurableChoice choice = durableSurvey.choice();
-    TargetState candidate = choice.choose(loop.nowNanos());
-    if (candidate == null && isDurableWaitOver(choice)) {
-      candidate = choice.mostAdvanced(loop.nowNanos());
-    }
+    TargetState candidate = durableCandidate();
     if (candidate != null) {
+      logSurvey("chosen");
       durableSurvey.end();
-      choose(candidate, choice.receivedBy(candidate));
+      if (durableSurvey.choice().choose(loop.nowNanos()) == null) {
+        Logger.warn(
+            "event=promotion_may_lose_commits group={} waited_ms={}",
+            group.name(),
+            elapsedMs(need.sinceNanos()));
+      }
+      choose(candidate, durableSurvey.choice().receivedBy(candidate, loop.nowNanos()));
     } else if (!requested && elapsedMs(startedNanos) > SURVEY_TURN_MS) {
-      surveyIncomplete = true;
-      end("survey incomplete: " + describe(choice));
+      endIncomplete();
     }
   }
 
+  /** Returns the target to promote by the reports there are, or null. */
+  private TargetState durableCandidate() {
+    DurableChoice choice = durableSurvey.choice();
+    long nowNanos = loop.nowNanos();
+    TargetState candidate = choice.choose(nowNanos);
+    return candidate == null && isDurableWaitOver(choice)
+        ? choice.mostAdvanced(nowNanos)
+        : candidate;
+  }
+
+  /** Ends the attempt so that an instance which may reach other replicas can begin one. */
+  private void endIncomplete() {
+    logSurvey("incomplete");
+    surveyIncomplete = true;
+    end("survey incomplete");
+  }
+
+  private void logSurvey(String phase) {
+    Logger.info(
+        "event=promotion_survey group={} phase={} fence={} after_ms={} {}",
+        group.name(),
+        phase,
+        lease.fence(),
+        elapsedMs(startedNanos),
+        durableSurvey.choice().describe(loop.nowNanos()));
+  }
+
   /** Ends an attempt to replace a primary that has come back before another was promoted. */
   private boolean endIfReachable() {
     boolean reachable =
@@ -225,31 +260,10 @@
     return reachable;
   }
 
-  /** Returns whether the group has waited for reports for as long as it may, and logs it then. */
+  /** Returns whether the group has waited for reports for as long as it may. */
   private boolean isDurableWaitOver(DurableChoice choice) {
-    long waitedMs = elapsedMs(need.sinceNanos());
-    boolean over =
-        waitedMs > MAX_DURABLE_WAIT_MS
-            && !choice.primaryReports(loop.nowNanos())
-            && choice.reports() > 0;
-    if (over) {
-      Logger.warn(
-          "event=promotion_may_lose_commits group={} waited_ms={} {}",
-          group.name(),
-          waitedMs,
-          describe(choice));
-    }
-    return over;
-  }
-
-  private String describe(DurableChoice choice) {
-    long nowNanos = loop.nowNanos();
-    return "reports="
-        + choice.reports()
-        + " needed="
-        + choice.neededReports(nowNanos)
-        + " primary_reports="
-        + choice.primaryReports(nowNanos);
+    return elapsedMs(need.sinceNanos()) > MAX_DURABLE_WAIT_MS
+        && !choice.primaryReports(loop.nowNanos());
   }
 
   /** Replaces a leaving target that has been promoted, once another one has received its log. */
