Repeat a promotion request only while no other log is ahead

Acknowledged commits are lost if the candidate stops receiving after its report and the first request is not answered.

Cause: the survey ended with the choice. A request without an answer was repeated for up to 8 s, by a report from before the first one.

Change: the survey goes on until the primary has changed. A request is repeated only if the candidate's log reaches that of the target that would be chosen now, and not once the primary is reachable again; otherwise the attempt ends after 2.5 s. The next one has a higher fence, so that the old request is refused if it is carried out late.

Ruled out: requesting another target under the same fence, since the first request may still be carried out.

--- a/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
@@ -84,6 +84,12 @@
     return enough ? PromotionCandidates.mostAdvancedOfAll(received, nowNanos) : null;
   }
 
+  /** Returns whether {@code target} has reported a log that reaches that of {@code other}. */
+  public boolean reaches(TargetState target, TargetState other, long nowNanos) {
+    Position position = receivedBy(target, nowNanos);
+    return position != null && Positions.reaches(position, receivedBy(other, nowNanos));
+  }
+
   /** Returns the target with the most advanced log that was reported, or null without reports. */
   public TargetState mostAdvanced(long nowNanos) {
     return PromotionCandidates.mostAdvancedOfAll(received(nowNanos), nowNanos);
--- a/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
@@ -144,6 +144,8 @@
     assertThat(choice.choose(nowNanos)).isNull();
     choice.report(silent, at(9), nowNanos, nowNanos);
     assertThat(choice.choose(nowNanos)).isSameAs(silent);
+    assertThat(choice.reaches(silent, late, nowNanos)).isTrue();
+    assertThat(choice.reaches(late, silent, nowNanos)).isFalse();
   }
 
   @Test
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -24,8 +24,9 @@
  *
  * <p>Where commits are acknowledged only once replicas have received them, the replicas are
  * surveyed until {@link DurableChoice} shows that no such commit is lost, for up to {@link
- * #MAX_DURABLE_WAIT_MS}. A target that is leaving may be promoted then; the attempt goes on to
- * replace it in its turn, under the same lease.
+ * #MAX_DURABLE_WAIT_MS}, and further until the request is carried out: it is repeated only while no
+ * other log is ahead of the candidate's. A target that is leaving may be promoted then; the attempt
+ * goes on to replace it in its turn, under the same lease.
  *
  * <p>Invariant: promotion requests carry the fence of this lease; after a refusal no further
  * request is sent under it. A request without a response may still be carried out, so it is retried
@@ -59,6 +60,7 @@
   private TargetState oldPrimary;
   private DurableSurvey durableSurvey;
   private TargetState chosen;
+  private long chosenNanos;
   private Position chosenPosition;
   private boolean chosenIsLeaving;
   private boolean requested;
@@ -176,6 +178,7 @@
 
   private void choose(TargetState candidate, Position position) {
     chosen = candidate;
+    chosenNanos = loop.nowNanos();
     chosenPosition = position;
     chosenIsLeaving = candidate.isLeaving();
     requestPromotion();
@@ -202,13 +205,15 @@
   }
 
   private void chooseDurable() {
+    if (chosen != null) {
+      return;
+    }
     if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn() || endIfReachable()) {
       return;
     }
     TargetState candidate = durableCandidate();
     if (candidate != null) {
       logSurvey("chosen");
-      durableSurvey.end();
       if (durableSurvey.choice().choose(loop.nowNanos()) == null) {
         Logger.warn(
             "event=promotion_may_lose_commits group={} waited_ms={}",
@@ -278,6 +283,7 @@
     verdict = PrimaryVerdict.LEAVING;
     startedNanos = loop.nowNanos();
     chosen = null;
+    durableSurvey.end();
     beginDurableSurvey();
   }
 
@@ -332,7 +338,26 @@
     } else if (result == PromotionClient.Result.ACCEPTED) {
       awaitNewPrimary(loop.nowNanos());
     } else {
-      loop.after(POLL_INTERVAL_MS * 5, this::requestPromotion);
+      loop.after(POLL_INTERVAL_MS * 5, this::repeatRequest);
+    }
+  }
+
+  /** Repeats the request for the same target, unless another log has got ahead of its log. */
+  private void repeatRequest() {
+    if (durableSurvey == null) {
+      requestPromotion();
+      return;
+    }
+    if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfReachable()) {
+      return;
+    }
+    TargetState candidate = durableCandidate();
+    if (candidate != null && durableSurvey.choice().reaches(chosen, candidate, loop.nowNanos())) {
+      requestPromotion();
+    } else if (elapsedMs(chosenNanos) > SURVEY_TURN_MS) {
+      endIncomplete();
+    } else {
+      loop.after(POLL_INTERVAL_MS, this::repeatRequest);
     }
   }
 
@@ -341,7 +366,7 @@
       return;
     }
     if (elapsedMs(requestedNanos) > REQUEST_RETRY_MS) {
-      requestPromotion();
+      repeatRequest();
       return;
     }
     loop.after(POLL_INTERVAL_MS, () -> awaitNewPrimary(requestedNanos));
