Keep commits that were acknowledged before fewer replicas are demanded

Cause: the number was read once, when an attempt began, and only the present one counted. A commit acknowledged under another number is in as many logs as were demanded then.

Change: core.promotion.SyncReplicaDemand; the lowest number above 0 that was declared in the last 20 s counts, also when it changes during an attempt. Without such a declaration promotions are as before.

Evidence: GatewayDurablePromotionTest.commitsAreKeptAfterNoSynchronousReplicaIsDeclaredAnyMore fails on (the replica that received nothing is promoted) and passes here; SyncReplicaDemandTest. Where the number rises from 0 during an attempt, no test.

--- a/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
@@ -37,9 +37,9 @@
   private record Report(Position position, long receivedNanos) {}
 
   private final GroupState group;
-  private final int syncReplicas;
   private final Map<TargetState, Report> reports = new HashMap<>();
   private final TargetState primary;
+  private int syncReplicas;
   private Position primaryPosition;
   private long primaryReportNanos;
 
@@ -55,6 +55,11 @@
     this.primary = primary;
   }
 
+  /** Sets the number of replicas that must receive a commit before it is acknowledged. */
+  public void setSyncReplicas(int newSyncReplicas) {
+    syncReplicas = newSyncReplicas;
+  }
+
   /**
    * Records the last position in the log of {@code target}.
    *
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -132,7 +132,7 @@
 
   /** Returns whether commits are acknowledged only once replicas have received them. */
   private boolean isDurable() {
-    return need.syncReplicas() > 0;
+    return need.syncReplicas().getAsInt() > 0;
   }
 
   private void surveyReplicas() {
@@ -168,6 +168,11 @@
     if (ended || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn()) {
       return;
     }
+    if (isDurable()) {
+      // Declared since the attempt began.
+      beginDurableSurvey();
+      return;
+    }
     TargetState candidate = PromotionCandidates.mostAdvanced(received, loop.nowNanos());
     if (candidate == null || !caughtUp(received.get(candidate))) {
       loop.after(POLL_INTERVAL_MS, this::surveyReplicas);
@@ -185,7 +190,7 @@
   }
 
   private void beginDurableSurvey() {
-    DurableChoice choice = new DurableChoice(group, need.syncReplicas(), oldPrimary);
+    DurableChoice choice = new DurableChoice(group, need.syncReplicas().getAsInt(), oldPrimary);
     durableSurvey = new DurableSurvey(loop, queries, choice, this::chooseDurable);
     logSurvey("begun");
     pollDurableSurvey(durableSurvey);
@@ -195,6 +200,9 @@
     if (ended || survey.isEnded()) {
       return;
     }
+    if (isDurable()) {
+      survey.choice().setSyncReplicas(need.syncReplicas().getAsInt());
+    }
     List<TargetState> targets = new ArrayList<>(group.targets());
     if (verdict != PrimaryVerdict.LEAVING) {
       targets.remove(oldPrimary);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
@@ -8,6 +8,7 @@
 import io.hickorydrift.core.promotion.PrimaryFailureDetector;
 import io.hickorydrift.core.promotion.PrimaryReport;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
+import io.hickorydrift.core.promotion.SyncReplicaDemand;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,6 +50,7 @@
   private final Map<String, Long> neededSinceNanos = new HashMap<>();
   private final Map<String, Long> leaseRetryNanos = new HashMap<>();
   private final Map<String, PromotionAttempt> attempts = new HashMap<>();
+  private final Map<String, SyncReplicaDemand> demands = new HashMap<>();
 
   PromotionController(
       PromotionServices services,
@@ -80,8 +82,12 @@
 
   void tick(long nowNanos, boolean storeSettled) {
     for (GroupState group : directory.groups()) {
-      boolean declared = declarations.current().groups().containsKey(group.name());
-      if (!declared || !homes.isObserver(group.name())) {
+      DeclaredGroup declared = declarations.current().groups().get(group.name());
+      if (declared == null) {
+        continue;
+      }
+      demand(group.name()).record(declared.syncReplicas(), nowNanos);
+      if (!homes.isObserver(group.name())) {
         continue;
       }
       PromotionAttempt attempt = attempts.get(group.name());
@@ -139,15 +145,14 @@
                 group,
                 verdict,
                 sinceNanos,
-                syncReplicas(group.name()),
+                demand(group.name())::lowest,
                 () -> prober.unreachableMs(primary) == 0));
     attempts.put(group.name(), attempt);
     attempt.start();
   }
 
-  private int syncReplicas(String group) {
-    DeclaredGroup declared = declarations.current().groups().get(group);
-    return declared == null ? 0 : declared.syncReplicas();
+  private SyncReplicaDemand demand(String group) {
+    return demands.computeIfAbsent(group, name -> new SyncReplicaDemand());
   }
 
   private int rank(String group) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PromotionAttemptTest.java
@@ -42,7 +42,7 @@
     GroupState group = directory.group("g");
     return new PromotionAttempt(
         new PromotionServices(loop, store, null, pools, declarations, "gw-0"),
-        new PromotionNeed(group, PrimaryVerdict.DEAD, loop.nowNanos(), 0, () -> false));
+        new PromotionNeed(group, PrimaryVerdict.DEAD, loop.nowNanos(), () -> 0, () -> false));
   }
 
   @Test
