Log and count answers that do not belong to the command that awaits one

No line said for which command an answer was taken, nor why a connection to a target ended, so that an answer taken by order (hypothesis 1), a wrong name (2) and an answer in parts (3) looked alike.

AnswerMatcher judges each message of a target by what it carries: a signature that is new on the connection, a signature where one is due, the state after it, a position that does not go back. For now its verdict is only logged (decision=answer_repeated or answer_unproved, with the caller's id, target, connection, what was expected and what came) and counted in hickorydrift_unexpected_answers_total{verdict}; what is answered to whom stays as it was.

GatewayTest, GatewaySessionValuesTest, WindowedDispatchTest and BoundaryTest pass.

--- /dev/null
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -0,0 +1,320 @@
+package io.hickorydrift.core.answer;
+
+import io.hickorydrift.core.statement.ExpectedAnswer;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.TargetMessage;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Attributes the messages of one target connection to its commands. Targets answer commands in
+ * order and name none of them; they may send an answer, or a part of one, again at any later time.
+ * An answer belongs to the oldest command if it cannot be a repeat: by a signature that is new on
+ * the connection, or else because nothing equal was sent before. What is proved to be a repeat is
+ * to be ignored, and after anything else the connection is to be closed.
+ *
+ * <p>The proxy's own commands have no signature. Most of them cannot be refused, so that a repeat
+ * of an equal success says nothing wrong; for those that can be, it is accepted only from targets
+ * that are not known to repeat answers.
+ *
+ * <p>Invariant: a success of a caller's statement is reported only for a new signature, and the
+ * signature proves that all earlier commands were answered. Load: called for each message of a
+ * target; constant time, but for the hashing of texts. Thread safety: confined to one thread.
+ */
+public final class AnswerMatcher {
+  /** What follows from a message. */
+  public enum Verdict {
+    /** The answer goes on. */
+    INCOMPLETE,
+    /** The oldest command is answered. */
+    ANSWERED,
+    /** The message, or the answer that ends with it, repeats an earlier one. */
+    REPEATED,
+    /** It is not known to which command the message belongs. */
+    UNPROVED
+  }
+
+  private final BooleanSupplier repeatsKnown;
+  private final AnswerHistory history = new AnswerHistory();
+  private final List<String> rows = new ArrayList<>(1);
+  private int repeatedRows;
+  private TargetMessage outcome;
+  private TargetMessage.Ready end;
+  private SessionState state = SessionState.IDLE;
+  // Successes of refusable commands that may have been repeats: their own answers may still come.
+  private int doubtfulCount;
+  // Successes that may have been repeats, of any of the proxy's own commands.
+  private int equalCount;
+  private boolean mayBeRepeat;
+  private boolean emptyReadSeen;
+  private boolean rowlessWriteSeen;
+  private String finding = "";
+
+  /**
+   * Creates a matcher for a new connection.
+   *
+   * @param repeatsKnown whether the target is known to repeat answers
+   */
+  public AnswerMatcher(BooleanSupplier repeatsKnown) {
+    this.repeatsKnown = repeatsKnown;
+  }
+
+  /** Records the message that opened the connection. */
+  public void opened(TargetMessage.Ready opening) {
+    state = opening.state();
+    history.addOpening(opening);
+  }
+
+  /** Returns the state of the session after the last answer. */
+  public SessionState state() {
+    return state;
+  }
+
+  /** Returns the number of answers received. */
+  public int answerCount() {
+    return history.answerCount();
+  }
+
+  /** Returns the rows of the answer, after {@link Verdict#ANSWERED}. */
+  public List<String> rows() {
+    return List.copyOf(rows);
+  }
+
+  /** Returns the outcome of the answer, after {@link Verdict#ANSWERED}. */
+  public TargetMessage outcome() {
+    return outcome;
+  }
+
+  /** Returns the end of the answer, after {@link Verdict#ANSWERED}. */
+  public TargetMessage.Ready end() {
+    return end;
+  }
+
+  /** Returns whether the answer equals an earlier one, after {@link Verdict#ANSWERED}. */
+  public boolean mayBeRepeat() {
+    return mayBeRepeat;
+  }
+
+  /** Returns what the last verdict rests on. */
+  public String finding() {
+    return finding;
+  }
+
+  /**
+   * Takes the next message.
+   *
+   * @param expected the answer that the oldest command awaits, or null if no command was sent that
+   *     has not been answered
+   */
+  public Verdict take(TargetMessage message, ExpectedAnswer expected) {
+    if (end != null) {
+      startAnswer();
+    }
+    if (message instanceof TargetMessage.Row row) {
+      return takeRow(row, expected);
+    }
+    if (message instanceof TargetMessage.Ready ready) {
+      return takeEnd(ready, expected);
+    }
+    if (message instanceof TargetMessage.Unreadable unreadable) {
+      return conclude(Verdict.UNPROVED, unreadable.reason());
+    }
+    if (outcome != null) {
+      return takeSecondOutcome(message);
+    }
+    outcome = message;
+    return Verdict.INCOMPLETE;
+  }
+
+  private void startAnswer() {
+    rows.clear();
+    repeatedRows = 0;
+    outcome = null;
+    end = null;
+    mayBeRepeat = false;
+  }
+
+  private Verdict conclude(Verdict verdict, String reason) {
+    finding = reason;
+    return verdict;
+  }
+
+  private Verdict takeRow(TargetMessage.Row row, ExpectedAnswer expected) {
+    boolean repeated = history.hasRow(row.text());
+    if (expected == null || !expected.mayHaveRows()) {
+      return repeated
+          ? conclude(Verdict.REPEATED, "an earlier row, where none is due")
+          : conclude(Verdict.UNPROVED, "a row where none is due");
+    }
+    if (outcome != null) {
+      return conclude(Verdict.UNPROVED, "a row after the outcome");
+    }
+    if (mayBeTwoRows(row)) {
+      return conclude(Verdict.UNPROVED, "a row that may be two, of which one broke off");
+    }
+    rows.add(row.text());
+    repeatedRows += repeated ? 1 : 0;
+    return Verdict.INCOMPLETE;
+  }
+
+  /** An answer that breaks off inside a row is repeated from its first row. */
+  private boolean mayBeTwoRows(TargetMessage.Row row) {
+    String following = row.following();
+    return following != null
+        && (rows.isEmpty() ? following.startsWith(row.brokenOff()) : following.equals(rows.get(0)));
+  }
+
+  /** An answer that breaks off after its outcome is repeated from its start. */
+  private Verdict takeSecondOutcome(TargetMessage message) {
+    return message.equals(outcome) && rows.isEmpty()
+        ? conclude(Verdict.REPEATED, "the same outcome twice")
+        : conclude(Verdict.UNPROVED, "two outcomes in one answer");
+  }
+
+  private Verdict takeEnd(TargetMessage.Ready ready, ExpectedAnswer expected) {
+    if (outcome == null) {
+      return history.hasEnd(ready)
+          ? conclude(Verdict.REPEATED, "an earlier end, without an outcome")
+          : conclude(Verdict.UNPROVED, "an end without an outcome");
+    }
+    if (outcome instanceof TargetMessage.Failure failure) {
+      return takeFailure(failure, ready, expected);
+    }
+    TargetMessage.Complete complete = (TargetMessage.Complete) outcome;
+    return complete.signed()
+        ? takeSigned(complete.signature(), ready, expected)
+        : takeUnsigned(ready, expected);
+  }
+
+  private Verdict takeSigned(String signature, TargetMessage.Ready ready, ExpectedAnswer expected) {
+    if (history.hasSignature(signature)) {
+      return dropAnswer("an earlier signature");
+    }
+    if (expected == null || !expected.isSigned()) {
+      return conclude(Verdict.UNPROVED, "a new signature where none is due");
+    }
+    if (ready.state() != expected.stateAfter(state) || isEarlierEnd(ready, expected)) {
+      // The statement is answered, but its own end is still to come.
+      return history.hasEnd(ready)
+          ? conclude(Verdict.REPEATED, "an earlier end, after a new signature")
+          : conclude(Verdict.UNPROVED, "another state than the statement leads to");
+    }
+    if (expected == ExpectedAnswer.READ) {
+      if (mayHoldRepeatedRows()) {
+        return conclude(Verdict.UNPROVED, "rows that may repeat earlier ones");
+      }
+      emptyReadSeen |= rows.isEmpty();
+    } else if (rows.isEmpty()) {
+      rowlessWriteSeen = true;
+    } else if (repeatedRows == rows.size()) {
+      if (!rowlessWriteSeen) {
+        return conclude(Verdict.UNPROVED, "rows that may repeat earlier ones");
+      }
+      rows.clear();
+    }
+    history.addSigned(signature, rows, ready);
+    doubtfulCount = 0;
+    equalCount = 0;
+    return accept(ready);
+  }
+
+  /** A log does not get shorter, and each commit of writes makes it longer. */
+  private boolean isEarlierEnd(TargetMessage.Ready ready, ExpectedAnswer expected) {
+    boolean tooLow =
+        expected.advancesLog()
+            ? history.hasReached(ready.position())
+            : history.isPast(ready.position());
+    return tooLow && history.hasEnd(ready);
+  }
+
+  /**
+   * Returns whether the rows of a read may begin with a row of an earlier answer, or with those of
+   * a first part of this one that broke off. A single row that was sent before is the usual answer
+   * to a repeated read; it may stand before an empty result, if there are such.
+   */
+  private boolean mayHoldRepeatedRows() {
+    if (rows.size() == 1) {
+      return repeatedRows > 0 && emptyReadSeen && repeatsKnown.getAsBoolean();
+    }
+    if (repeatedRows > 0 && history.hasRow(rows.get(0))) {
+      return true;
+    }
+    for (int length = 1; length * 2 <= rows.size(); length++) {
+      if (rows.subList(0, length).equals(rows.subList(length, 2 * length))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Verdict takeUnsigned(TargetMessage.Ready ready, ExpectedAnswer expected) {
+    boolean equal = history.hasUnsigned(rows, ready);
+    boolean fits =
+        expected != null
+            && !expected.isSigned()
+            && ready.state() == expected.stateAfter(state)
+            && rows.size() == (expected == ExpectedAnswer.REPORT ? 1 : 0);
+    if (!fits || equal && history.isPast(ready.position())) {
+      if (equal) {
+        return dropAnswer("an earlier answer to an own command");
+      }
+      if (equalCount == 0) {
+        return conclude(Verdict.UNPROVED, "an answer to an own command, where none is due");
+      }
+      // The command's own answer, after a repeat of an equal one was taken for it.
+      equalCount--;
+      history.addUnsigned(rows, ready);
+      return dropAnswer("a further answer to an own command");
+    }
+    if (equal) {
+      if (expected == ExpectedAnswer.BEGIN && repeatsKnown.getAsBoolean()) {
+        return conclude(Verdict.UNPROVED, "a begin that an earlier answer may stand for");
+      }
+      equalCount++;
+      doubtfulCount += expected.mayBeRefused() ? 1 : 0;
+    }
+    mayBeRepeat = equal;
+    history.addUnsigned(rows, ready);
+    return accept(ready);
+  }
+
+  private Verdict takeFailure(
+      TargetMessage.Failure failure, TargetMessage.Ready ready, ExpectedAnswer expected) {
+    boolean equal = history.hasFailure(failure, ready);
+    boolean fits = expected != null && mayFollowFailure(ready.state());
+    if (equal && (!fits || history.isPast(ready.position()))) {
+      return dropAnswer("an earlier failure");
+    }
+    if (!fits) {
+      return conclude(Verdict.UNPROVED, "a failure where none is due");
+    }
+    if (equal) {
+      return conclude(Verdict.UNPROVED, "a failure that equals an earlier one");
+    }
+    if (doubtfulCount > 0 && repeatsKnown.getAsBoolean()) {
+      return conclude(Verdict.UNPROVED, "a failure that an earlier command may have had");
+    }
+    history.addFailure(failure, rows, ready);
+    return accept(ready);
+  }
+
+  private boolean mayFollowFailure(SessionState after) {
+    return (after == SessionState.IDLE) == (state == SessionState.IDLE);
+  }
+
+  private Verdict accept(TargetMessage.Ready ready) {
+    end = ready;
+    state = ready.state();
+    return Verdict.ANSWERED;
+  }
+
+  /** Drops a whole answer; its rows have to be earlier ones, too. */
+  private Verdict dropAnswer(String reason) {
+    boolean allEarlier = rows.stream().allMatch(history::hasRow);
+    startAnswer();
+    return allEarlier
+        ? conclude(Verdict.REPEATED, reason)
+        : conclude(Verdict.UNPROVED, reason + ", with new rows");
+  }
+}
--- a/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
@@ -9,14 +9,32 @@
  * <p>Thread safety: immutable.
  */
 public sealed interface TargetCommand {
+  /** What stands for the caller's id in commands that originate in the proxy. */
+  String NO_CALLER = "-";
+
+  /** Returns the caller's id of the statement, or {@link #NO_CALLER}. */
+  default String callerId() {
+    return NO_CALLER;
+  }
+
+  /** Returns what tells the answer to this command from others. */
+  ExpectedAnswer expectedAnswer();
+
   /**
    * Runs a caller's statement, which is forwarded unchanged.
    *
    * @param id the caller's id
    * @param text text of the statement
    * @param atLeast position that the target must have applied, or null
+   * @param expectedAnswer what its success looks like
    */
-  record Run(String id, String text, Position atLeast) implements TargetCommand {}
+  record Run(String id, String text, Position atLeast, ExpectedAnswer expectedAnswer)
+      implements TargetCommand {
+    @Override
+    public String callerId() {
+      return id;
+    }
+  }
 
   /**
    * Executes a prepared statement under its name on this connection.
@@ -25,9 +43,16 @@
    * @param name name of the prepared statement on this connection
    * @param argument the caller's arguments
    * @param atLeast position that the target must have applied, or null
+   * @param expectedAnswer what its success looks like
    */
-  record Execute(String id, String name, String argument, Position atLeast)
-      implements TargetCommand {}
+  record Execute(
+      String id, String name, String argument, Position atLeast, ExpectedAnswer expectedAnswer)
+      implements TargetCommand {
+    @Override
+    public String callerId() {
+      return id;
+    }
+  }
 
   /**
    * Begins a transaction.
@@ -35,20 +60,50 @@
    * @param readOnly whether a replica may run it
    * @param atLeast position that the target must have applied, or null
    */
-  record Begin(boolean readOnly, Position atLeast) implements TargetCommand {}
+  record Begin(boolean readOnly, Position atLeast) implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.BEGIN;
+    }
+  }
 
   /** Rolls back the transaction. */
-  record Rollback() implements TargetCommand {}
+  record Rollback() implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.ROLLBACK;
+    }
+  }
 
   /** Discards session values and prepared statements. */
-  record Reset() implements TargetCommand {}
+  record Reset() implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.SETUP;
+    }
+  }
 
   /** Sets a session value. */
-  record SetValue(String name, String value) implements TargetCommand {}
+  record SetValue(String name, String value) implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.SETUP;
+    }
+  }
 
   /** Prepares a statement. */
-  record Prepare(String name, PreparedStatement prepared) implements TargetCommand {}
+  record Prepare(String name, PreparedStatement prepared) implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.SETUP;
+    }
+  }
 
   /** Requests a {@link TargetReport}. */
-  record Report() implements TargetCommand {}
+  record Report() implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.REPORT;
+    }
+  }
 }
--- a/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
@@ -8,11 +8,28 @@
  * <p>Thread safety: immutable.
  */
 public sealed interface TargetMessage {
-  /** One row of a result, unchanged as the target sent it. */
-  record Row(String text) implements TargetMessage {}
+  /**
+   * One row of a result, unchanged as the target sent it. Its text may also consist of a row that
+   * broke off and one that follows without a line end.
+   *
+   * @param text the row
+   * @param brokenOff the row that may have broken off, or null
+   * @param following the row that may follow it, or null
+   */
+  record Row(String text, String brokenOff, String following) implements TargetMessage {
+    /** Creates a row that cannot consist of two. */
+    public Row(String text) {
+      this(text, null, null);
+    }
+  }
 
-  /** The statement succeeded. */
-  record Complete(String signature) implements TargetMessage {}
+  /**
+   * The statement succeeded.
+   *
+   * @param signature the target's signature, or what stands in its place
+   * @param signed whether the target has signed it, which it does for callers' statements
+   */
+  record Complete(String signature, boolean signed) implements TargetMessage {}
 
   /** The statement failed. */
   record Failure(FailureCode code, String text) implements TargetMessage {}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -97,6 +97,8 @@
     directory = new Directory(this::onTargetRemoved, evacuated, loop::nowNanos);
     homes = new HomeRouter(loop, declarations, fleet, directory, settings.id(), settings.regions());
     pools = new TargetPools(loop, platform.targetCodec(), homes, declarations);
+    RequestLog requestLog = new RequestLog(loop);
+    pools.observeAnswers(new AnswerLog(requestLog, metrics));
     prober = new PrimaryProber(loop, directory, pools, declarations, homes, steps);
     evacuations.onChange(prober::updateRecoveryEstimators);
     DeclarationExchange exchange = new DeclarationExchange(loop, declarations, platform);
@@ -162,7 +164,7 @@
             new ReadPlacement(settings.failureDomain(), settings.regions()),
             pools,
             limits,
-            new RequestLog(loop),
+            requestLog,
             metrics,
             homes,
             confirmations,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/LocalTransaction.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.AllowedRegions;
+import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
@@ -184,7 +185,7 @@
     target.recordSent();
     countRequest(target);
     connection.run(
-        session.prepareCommand(statement, connection, null, deadlineNanos),
+        session.prepareCommand(statement, expectedAnswer(), connection, null, deadlineNanos),
         deadlineNanos,
         reply -> {
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
@@ -200,6 +201,13 @@
         });
   }
 
+  private ExpectedAnswer expectedAnswer() {
+    if (statement.kind() == StatementKind.COMMIT) {
+      return wrote ? ExpectedAnswer.COMMIT_OF_WRITES : ExpectedAnswer.COMMIT_OF_READS;
+    }
+    return session.writes(statement) ? ExpectedAnswer.WRITE_IN_TRANSACTION : ExpectedAnswer.READ;
+  }
+
   private void countRequest(TargetState target) {
     if (taken) {
       context.warmUps().move(target, takenNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
@@ -137,7 +138,7 @@
     Attempt attempt = new Attempt(target, inTransaction);
     EventLoop.Timer hedgeTimer = context.loop().after(hedgeDelayMs(target), () -> attempt.onSlow());
     connection.run(
-        session.prepareCommand(statement, connection, atLeast, deadlineNanos),
+        session.prepareCommand(statement, ExpectedAnswer.READ, connection, atLeast, deadlineNanos),
         deadlineNanos,
         reply -> {
           hedgeTimer.cancel();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.AllowedRegions;
 import io.hickorydrift.core.position.Positions;
+import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
@@ -97,16 +98,22 @@
   /**
    * Sends the session values and the prepared statement that {@code statement} needs on {@code
    * connection}. Returns the command that runs the statement.
+   *
+   * @param expected what its success looks like
    */
   TargetCommand prepareCommand(
-      Statement statement, TargetConnection connection, Position atLeast, long deadlineNanos) {
+      Statement statement,
+      ExpectedAnswer expected,
+      TargetConnection connection,
+      Position atLeast,
+      long deadlineNanos) {
     connection.applySessionValues(values, deadlineNanos);
     if (statement.kind() == StatementKind.EXECUTE) {
       PreparedStatement preparedStatement = prepared.get(statement.name());
       connection.prepare(preparedStatement, deadlineNanos);
       return new TargetCommand.Execute(
-          statement.id(), preparedStatement.sharedName(), statement.argument(), atLeast);
+          statement.id(), preparedStatement.sharedName(), statement.argument(), atLeast, expected);
     }
-    return new TargetCommand.Run(statement.id(), statement.text(), atLeast);
+    return new TargetCommand.Run(statement.id(), statement.text(), atLeast, expected);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -1,6 +1,8 @@
 package io.hickorydrift.proxy.gateway;
 
+import io.hickorydrift.core.answer.AnswerMatcher;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.SessionState;
@@ -54,6 +56,8 @@
   private final String organisation;
   private final TargetPool pool;
   private final TcpChannel channel;
+  private final int number;
+  private final AnswerMatcher matcher = new AnswerMatcher(() -> false);
   // Connecting takes a few milliseconds, and longer only if the target is partitioned from
   // this instance or unreachable.
   private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
@@ -74,12 +78,14 @@
       TargetState target,
       String organisation,
       TargetPool pool,
-      long openTimeoutMs) {
+      long openTimeoutMs,
+      int number) {
     this.loop = loop;
     this.codec = codec;
     this.target = target;
     this.organisation = organisation;
     this.pool = pool;
+    this.number = number;
     openDeadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(openTimeoutMs);
     connectDeadlineNanos = loop.nowNanos() + CONNECT_TIMEOUT_NANOS;
     channel = TcpChannel.connect(loop, target.entry().address(), this);
@@ -94,6 +100,11 @@
     return pool;
   }
 
+  /** Returns the number of the connection among those of its pool, for the log. */
+  int number() {
+    return number;
+  }
+
   String organisation() {
     return organisation;
   }
@@ -249,6 +260,7 @@
       handleFirst(message);
       return;
     }
+    observe(message);
     PendingCommand current = pendingCommands.peekFirst();
     if (current == null || message instanceof TargetMessage.Unreadable) {
       close("unexpected message");
@@ -263,9 +275,21 @@
     }
   }
 
+  private void observe(TargetMessage message) {
+    PendingCommand current = pendingCommands.peekFirst();
+    boolean awaited = current != null && current.sent;
+    ExpectedAnswer expected = awaited ? current.command.expectedAnswer() : null;
+    AnswerMatcher.Verdict verdict = matcher.take(message, expected);
+    if (verdict == AnswerMatcher.Verdict.REPEATED || verdict == AnswerMatcher.Verdict.UNPROVED) {
+      String id = awaited ? current.command.callerId() : TargetCommand.NO_CALLER;
+      pool.answerObserver().onUnexpected(this, id, expected, message, verdict, matcher.finding());
+    }
+  }
+
   private void handleFirst(TargetMessage message) {
     if (message instanceof TargetMessage.Ready ready) {
       open = true;
+      matcher.opened(ready);
       target.recordApplied(ready.position());
       pool.onOpened(this);
     } else if (message instanceof TargetMessage.Failure failure) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -37,6 +37,7 @@
   private final TargetCodec codec;
   private final TargetState target;
   private final IntSupplier budget;
+  private final AnswerObserver answerObserver;
   private final List<TargetConnection> connections = new ArrayList<>();
   private final IdleConnections idle = new IdleConnections();
   private final ConnectionWaiters waiters;
@@ -47,6 +48,7 @@
   private final WindowedDispatch dispatch;
   private boolean draining;
   private boolean evicting;
+  private int openedCount;
 
   /** Creates a pool; {@code urgent} tells whether the target's group has urgent work. */
   TargetPool(
@@ -55,11 +57,13 @@
       TargetState target,
       IntSupplier budget,
       BooleanSupplier urgent,
-      WaitObserver observer) {
+      WaitObserver observer,
+      AnswerObserver answerObserver) {
     this.loop = loop;
     this.codec = codec;
     this.target = target;
     this.budget = budget;
+    this.answerObserver = answerObserver;
     waiters = new ConnectionWaiters(loop, urgent);
     held = new HeldConnections(target);
     attempts = new OpenAttempts(loop, target);
@@ -73,6 +77,10 @@
     return target;
   }
 
+  AnswerObserver answerObserver() {
+    return answerObserver;
+  }
+
   /** Returns the connections that open transactions hold. */
   HeldConnections held() {
     return held;
@@ -307,7 +315,8 @@
   /** Opens a connection of {@code organisation}. */
   TargetConnection open(String organisation) {
     TargetConnection connection =
-        new TargetConnection(loop, codec, target, organisation, this, OPEN_TIMEOUT_MS);
+        new TargetConnection(
+            loop, codec, target, organisation, this, OPEN_TIMEOUT_MS, ++openedCount);
     connections.add(connection);
     return connection;
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -32,6 +32,7 @@
   private final HomeRouter homes;
   private final Declarations declarations;
   private WaitObserver observer = NO_OBSERVER;
+  private AnswerObserver answerObserver = AnswerObserver.NONE;
   private final Map<TargetState, TargetPool> pools = new HashMap<>();
   // Pools of leaving targets, which run no statements.
   private final Map<TargetState, TargetPool> reportPools = new HashMap<>();
@@ -48,6 +49,11 @@
     observer = newObserver;
   }
 
+  /** Sets the observer of answers that do not belong to the command that awaits one. */
+  void observeAnswers(AnswerObserver newObserver) {
+    answerObserver = newObserver;
+  }
+
   TargetPool poolFor(TargetState target) {
     return pools.computeIfAbsent(
         target,
@@ -58,7 +64,8 @@
                 target,
                 () -> budget(target),
                 () -> declarations.isUrgent(target.entry().group()),
-                observer));
+                observer,
+                answerObserver));
   }
 
   /**
@@ -83,7 +90,13 @@
         target,
         key ->
             new TargetPool(
-                loop, codec, target, () -> REPORT_CONNECTIONS, () -> false, NO_OBSERVER));
+                loop,
+                codec,
+                target,
+                () -> REPORT_CONNECTIONS,
+                () -> false,
+                NO_OBSERVER,
+                answerObserver));
   }
 
   /**
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -3,6 +3,7 @@
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
@@ -81,7 +82,7 @@
     TargetState target = connection.target();
     target.recordSent();
     connection.run(
-        session.prepareCommand(statement, connection, null, deadlineNanos),
+        session.prepareCommand(statement, ExpectedAnswer.WRITE, connection, null, deadlineNanos),
         deadlineNanos,
         reply -> {
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
--- a/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/metrics/Metrics.java
@@ -155,6 +155,18 @@
           .help("Forwarded statements that ended at the home because their caller was gone")
           .register(registry);
 
+  private final Counter unexpectedAnswers =
+      Counter.builder()
+          .name("hickorydrift_unexpected_answers_total")
+          .help("Messages of targets that do not answer the command that awaits an answer")
+          .labelNames("verdict")
+          .register(registry);
+
+  /** Counts a message of a target that does not answer the command that awaits an answer. */
+  public void recordUnexpectedAnswer(String verdict) {
+    unexpectedAnswers.labelValues(verdict).inc();
+  }
+
   /** Counts a read that is tried again. */
   public void recordReadRetried(String reason) {
     readsRetried.labelValues(reason).inc();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/WindowedDispatchTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/WindowedDispatchTest.java
@@ -103,7 +103,8 @@
             target,
             () -> budget,
             () -> true,
-            (priority, waitedNanos, predictedNanos) -> {});
+            (priority, waitedNanos, predictedNanos) -> {},
+            AnswerObserver.NONE);
     pool.tick(loop.nowNanos());
   }
 
