Name prepared statements on target connections by a digest

Cause: the name on target connections was the kind and the text of the shape. A shape extends to the end of the line, so that the line that prepares "q1 WRITE yr" reads as a preparation of q1, and the line that executes it as an execution of another name with other arguments. The name also doubled the length of each message of a long shape.

The name is now a digest of fixed length without blanks. One name denotes one content: an execution runs what was prepared, or the name is unknown. A forwarded execution carries the name, so that it is computed once for each PREPARE; instances of earlier versions ignore the field.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -55,6 +55,9 @@
     packAllowed(packer, forward.allowed());
     // Instances of earlier versions ignore further fields.
     packer.packBoolean(forward.transaction().begun());
+    if (forward.preparedStatement() != null) {
+      packer.packString(forward.preparedStatement().sharedName());
+    }
   }
 
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
@@ -81,10 +84,9 @@
             unpacker.unpackString(),
             unpacker.unpackString(),
             false);
-    PreparedStatement preparedStatement =
-        unpacker.unpackBoolean()
-            ? new PreparedStatement(unpacker.unpackBoolean(), unpacker.unpackString())
-            : null;
+    final boolean execution = unpacker.unpackBoolean();
+    final boolean writes = execution && unpacker.unpackBoolean();
+    final String shape = execution ? unpacker.unpackString() : null;
     int count = PeerMessageCodec.checkCount(unpacker.unpackMapHeader(), PeerMessageCodec.MAX_ITEMS);
     Map<String, String> values = new LinkedHashMap<>();
     for (int i = 0; i < count; i++) {
@@ -97,6 +99,8 @@
     final AllowedRegions allowed =
         unpacker.hasNext() ? unpackAllowed(unpacker) : AllowedRegions.ALL;
     final boolean begun = unpacker.hasNext() && unpacker.unpackBoolean();
+    final PreparedStatement preparedStatement =
+        execution ? unpackPreparedStatement(unpacker, writes, shape) : null;
     return new PeerMessage.Forward(
         correlation,
         new PeerMessage.TransactionRef(transaction, begun),
@@ -112,6 +116,13 @@
         allowed);
   }
 
+  private static PreparedStatement unpackPreparedStatement(
+      MessageUnpacker unpacker, boolean writes, String shape) throws IOException {
+    return unpacker.hasNext()
+        ? PreparedStatement.named(writes, shape, unpacker.unpackString())
+        : new PreparedStatement(writes, shape);
+  }
+
   private static void packAllowed(MessagePacker packer, AllowedRegions allowed) throws IOException {
     packer.packBoolean(allowed.restricted()).packArrayHeader(allowed.regions().size());
     for (String region : allowed.regions()) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/PeerMessageCodecTest.java
@@ -9,6 +9,7 @@
 import io.hickorydrift.core.message.GrantRequest;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.placement.AllowedRegions;
+import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
 import io.hickorydrift.core.store.StorePosition;
@@ -47,8 +48,26 @@
         allowed);
   }
 
+  private static PeerMessage.Forward execution(PreparedStatement prepared) {
+    PeerMessage.Forward read = forward(AllowedRegions.ALL);
+    return new PeerMessage.Forward(
+        read.correlation(),
+        read.transaction(),
+        read.readOnly(),
+        read.organisation(),
+        read.route(),
+        new Statement("q1", StatementKind.EXECUTE, "EXECUTE s a1", "s", "a1", false),
+        prepared,
+        read.values(),
+        read.lastCommit(),
+        read.counted(),
+        read.ageMs(),
+        read.allowed());
+  }
+
   static List<PeerMessage> messages() {
     return List.of(
+        execution(new PreparedStatement(false, "q1 WRITE yr")),
         forward(AllowedRegions.ALL),
         forward(AllowedRegions.ALL, true),
         forward(AllowedRegions.of(Set.of("north", "south"), Set.of())),
@@ -113,6 +132,26 @@
     assertThat(PeerMessageCodec.read(previous)).isEqualTo(forward(AllowedRegions.ALL, false));
   }
 
+  /** Guards against a digest that the home computes for each execution. */
+  @Test
+  void forwardCarriesTheNameOfItsPreparedStatement() {
+    PreparedStatement prepared = PreparedStatement.named(true, "q1", "name");
+    PeerMessage.Forward read =
+        (PeerMessage.Forward) PeerMessageCodec.read(ByteBuffer.wrap(frame(execution(prepared))));
+    assertThat(read.preparedStatement().sharedName()).isEqualTo("name");
+  }
+
+  @Test
+  void nameOfPreparedStatementOfPreviousVersionIsComputed() {
+    PreparedStatement prepared = new PreparedStatement(true, "q1");
+    byte[] bytes = frame(execution(prepared));
+    int nameBytes = 2 + PreparedStatement.SHARED_NAME_LENGTH;
+    ByteBuffer previous = ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length - nameBytes));
+    previous.putInt(0, previous.remaining() - Integer.BYTES);
+    PeerMessage.Forward read = (PeerMessage.Forward) PeerMessageCodec.read(previous);
+    assertThat(read.preparedStatement().sharedName()).isEqualTo(prepared.sharedName());
+  }
+
   /** Guards against requests for tokens that the previous version cannot read. */
   @Test
   void tokenRequestWithoutUrgentOperationsIsThatOfThePreviousVersion() {
