Bound the names that a target connection holds

An instance prepared a name at a target for each shape that any caller of an organisation had ever prepared, and kept the set of these names, without a bound, as long as the connection lived; the target kept each shape as well.

The names are now kept in order of use. At 256, the least recently used one is closed in the same pipeline before the next one is prepared. A refusal to close it is harmless, since a name denotes one content only.

Evidence: without the bound, namesAtTheTargetAreBounded fails (257 names at the target, none closed). TargetConnectionTest also covers one name of two callers, a name prepared again with another shape, a refused preparation, a reset and a lost connection; these pass before and after.

--- a/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
@@ -99,6 +99,14 @@
     }
   }
 
+  /** Discards a prepared statement. */
+  record ClosePrepared(String name) implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.SETUP;
+    }
+  }
+
   /** Requests a {@link TargetReport}. */
   record Report() implements TargetCommand {
     @Override
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -4,6 +4,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.PreparedNames;
 import io.hickorydrift.core.statement.PreparedStatement;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.TargetCommand;
@@ -16,10 +17,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -67,7 +66,7 @@
   private boolean connected;
   private final ArrayDeque<PendingCommand> pendingCommands = new ArrayDeque<>();
   private final Map<String, String> sessionValues = new HashMap<>();
-  private final Set<String> preparedNames = new HashSet<>();
+  private final PreparedNames preparedNames = new PreparedNames();
   private boolean open;
   private SessionState state = SessionState.IDLE;
   private long lastReceivedNanos;
@@ -210,19 +209,29 @@
         });
   }
 
-  /** Prepares {@code statement} at the target under its shared name, unless already prepared. */
+  /**
+   * Prepares {@code statement} at the target under its shared name, unless already prepared. If the
+   * target refuses, an execution that was sent behind it does not run: no other statement has that
+   * name.
+   */
   void prepare(PreparedStatement statement, long deadlineNanos) {
     String name = statement.sharedName();
-    if (preparedNames.add(name)) {
-      run(
-          new TargetCommand.Prepare(name, statement),
-          deadlineNanos,
-          reply -> {
-            if (!reply.ok()) {
-              preparedNames.remove(name);
-            }
-          });
+    if (preparedNames.use(name)) {
+      return;
     }
+    String leastRecent = preparedNames.add(name);
+    if (leastRecent != null) {
+      // Harmless if refused: the name still denotes the same statement.
+      run(new TargetCommand.ClosePrepared(leastRecent), deadlineNanos, reply -> {});
+    }
+    run(
+        new TargetCommand.Prepare(name, statement),
+        deadlineNanos,
+        reply -> {
+          if (!reply.ok()) {
+            preparedNames.remove(name);
+          }
+        });
   }
 
   /** Checks that the target still answers; resets the session values as a side effect. */
