Bound the values and prepared statements of a session

A caller could add session values and prepared statements without end; an instance kept all of them, with shapes of up to 1 MiB, in a heap of 128 MB.

A SET or PREPARE beyond the session's limit fails with TOOBIG, one beyond the instance's with BUSY. Neither is applied, the state stays, and an open transaction goes on. The memory is given back when the session ends; its settings stay readable for a statement that is still running.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -3,7 +3,7 @@
 import io.hickorydrift.core.declaration.Route;
 import io.hickorydrift.core.statement.CallerMessage;
 import io.hickorydrift.core.statement.FailureCode;
-import io.hickorydrift.core.statement.PreparedStatement;
+import io.hickorydrift.core.statement.SessionSettings;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
@@ -37,7 +37,7 @@
   private final GatewayContext context;
   private final TcpChannel channel;
   private final Consumer<CallerSession> onEnd;
-  private final SessionData data = new SessionData();
+  private final SessionData data;
   private final ArrayDeque<Queued> queued = new ArrayDeque<>();
   private final long acceptedNanos;
   private int queuedBytes;
@@ -59,6 +59,7 @@
     this.context = context;
     this.channel = channel;
     this.onEnd = onEnd;
+    data = new SessionData(new SessionSettings(context.sessionTexts()));
     acceptedNanos = context.loop().nowNanos();
   }
 
@@ -201,16 +202,14 @@
     }
     switch (statement.kind()) {
       case SET_VALUE:
-        data.values().put(statement.name(), statement.argument());
-        answer(StatementOutcome.done(state));
+        answerSettingsChange(data.settings().setValue(statement.name(), statement.argument()));
         break;
       case PREPARE:
-        data.prepared()
-            .put(statement.name(), new PreparedStatement(statement.writes(), statement.argument()));
-        answer(StatementOutcome.done(state));
+        answerSettingsChange(
+            data.settings().prepare(statement.name(), statement.writes(), statement.argument()));
         break;
       case CLOSE_PREPARED:
-        data.prepared().remove(statement.name());
+        data.settings().closePrepared(statement.name());
         answer(StatementOutcome.done(state));
         break;
       case BEGIN:
@@ -229,6 +228,19 @@
     }
   }
 
+  /** Answers a statement that changes the session only; a refused one leaves it as it was. */
+  private void answerSettingsChange(FailureCode refusal) {
+    if (refusal == null) {
+      answer(StatementOutcome.done(state));
+    } else {
+      String reason =
+          refusal == FailureCode.TOO_LARGE
+              ? "session holds too many or too long values and prepared statements"
+              : "sessions of this instance hold too much";
+      answer(StatementOutcome.failed(refusal, reason, state));
+    }
+  }
+
   private void handleFailed(Statement statement) {
     if (statement.kind() == StatementKind.ROLLBACK) {
       answer(StatementOutcome.done(SessionState.IDLE));
@@ -521,6 +533,7 @@
       single.cancel();
     }
     rollBackTransaction();
+    data.settings().release();
     onEnd.accept(this);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.evacuation.Evacuations;
 import io.hickorydrift.core.placement.UnknownRegions;
+import io.hickorydrift.core.statement.TextBudget;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.ChannelHandler;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -42,6 +43,8 @@
   // Another instance takes the session as soon as the balancer chooses one.
   private static final long STOPPING_RETRY_MS = 20;
   private static final long IDLE_SESSION_NANOS = 60_000_000L;
+  // Unfinished messages may occupy a quarter.
+  private static final int SESSION_SHARE_OF_HEAP = 8;
   // Closes all sessions of an instance within about a second, but not all at the same time.
   private static final int MAX_CLOSES_PER_TICK = 6;
 
@@ -172,7 +175,8 @@
             evacuations,
             warmUps,
             outcomes,
-            new SessionOpenings(declarations, homes, startHold));
+            new SessionOpenings(declarations, homes, startHold),
+            new TextBudget(Runtime.getRuntime().maxMemory() / SESSION_SHARE_OF_HEAP));
     registerGauges();
     UnknownRegions unknownRegions = new UnknownRegions(settings.regions());
     declarations.setAcceptedListener(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/GatewayContext.java
@@ -7,6 +7,7 @@
 import io.hickorydrift.core.placement.Regions;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.TextBudget;
 import io.hickorydrift.proxy.metrics.Metrics;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.CallerCodec;
@@ -33,7 +34,8 @@
     EvacuationService evacuations,
     WarmUpLimits warmUps,
     TargetOutcomes outcomes,
-    SessionOpenings openings) {
+    SessionOpenings openings,
+    TextBudget sessionTexts) {
   private static final String UNCONFIRMED_REASON = "no replica confirmed the commit in time";
 
   /** Returns the retries of reads. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SessionData.java
@@ -6,11 +6,11 @@
 import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.PreparedStatement;
+import io.hickorydrift.core.statement.SessionSettings;
 import io.hickorydrift.core.statement.Statement;
 import io.hickorydrift.core.statement.StatementKind;
 import io.hickorydrift.core.statement.TargetCommand;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -21,17 +21,20 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class SessionData {
-  private final Map<String, String> values = new LinkedHashMap<>();
-  private final Map<String, PreparedStatement> prepared = new HashMap<>();
+  private final SessionSettings settings;
   private final Map<String, Position> lastCommits = new HashMap<>();
 
+  SessionData(SessionSettings settings) {
+    this.settings = settings;
+  }
+
   /** Returns the session state carried by a forwarded statement. */
   static SessionData of(PeerMessage.Forward forward) {
-    SessionData data = new SessionData();
-    data.values.putAll(forward.values());
-    if (forward.preparedStatement() != null) {
-      data.prepared.put(forward.statement().name(), forward.preparedStatement());
-    }
+    Map<String, PreparedStatement> prepared =
+        forward.preparedStatement() == null
+            ? Map.of()
+            : Map.of(forward.statement().name(), forward.preparedStatement());
+    SessionData data = new SessionData(SessionSettings.accepted(forward.values(), prepared));
     if (forward.lastCommit() != null) {
       data.lastCommits.put(forward.route().group(), forward.lastCommit());
     }
@@ -59,20 +62,24 @@
         organisation,
         route,
         statement,
-        isExecute ? prepared.get(statement.name()) : null,
-        Map.copyOf(values),
+        isExecute ? prepared().get(statement.name()) : null,
+        Map.copyOf(values()),
         lastCommit(route.group()),
         counted,
         ageMs,
         allowed);
   }
 
+  SessionSettings settings() {
+    return settings;
+  }
+
   Map<String, String> values() {
-    return values;
+    return settings.values();
   }
 
   Map<String, PreparedStatement> prepared() {
-    return prepared;
+    return settings.prepared();
   }
 
   /** Returns the position of the session's last commit in {@code group}, or null. */
@@ -90,7 +97,7 @@
   /** Returns whether {@code statement} writes, looking up prepared statements. */
   boolean writes(Statement statement) {
     if (statement.kind() == StatementKind.EXECUTE) {
-      return prepared.get(statement.name()).writes();
+      return prepared().get(statement.name()).writes();
     }
     return statement.kind() == StatementKind.WRITE;
   }
@@ -107,9 +114,9 @@
       TargetConnection connection,
       Position atLeast,
       long deadlineNanos) {
-    connection.applySessionValues(values, deadlineNanos);
+    connection.applySessionValues(values(), deadlineNanos);
     if (statement.kind() == StatementKind.EXECUTE) {
-      PreparedStatement preparedStatement = prepared.get(statement.name());
+      PreparedStatement preparedStatement = prepared().get(statement.name());
       connection.prepare(preparedStatement, deadlineNanos);
       return new TargetCommand.Execute(
           statement.id(), preparedStatement.sharedName(), statement.argument(), atLeast, expected);
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/ForwardedStatementServiceTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/ForwardedStatementServiceTest.java
@@ -60,6 +60,7 @@
               null,
               null,
               null,
+              null,
               null));
 
   private OutboundPeerLink openLink() throws IOException {
