Close a connection whose reset the target refuses

A connection that was idle is checked with a reset before a write.

Such a connection is now closed, as one that refuses session values.

Evidence: connectionWhoseResetIsRefusedIsNotUsedAgain fails before and passes now.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -234,11 +234,20 @@
         });
   }
 
-  /** Checks that the target still answers; resets the session values as a side effect. */
+  /**
+   * Checks that the target still answers; resets the session values as a side effect. The
+   * connection is closed if the target refuses, since it may still hold them.
+   */
   void probe(long deadlineNanos, Consumer<TargetReply> onReply) {
     sessionValues.clear();
     preparedNames.clear();
-    run(new TargetCommand.Reset(), deadlineNanos, onReply);
+    run(
+        new TargetCommand.Reset(),
+        deadlineNanos,
+        reply -> {
+          closeUnlessOk(reply);
+          onReply.accept(reply);
+        });
   }
 
   private void closeUnlessOk(TargetReply reply) {
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
@@ -279,4 +279,19 @@
     assertThat(execute(session("s", true, "q0"), "s").ok()).isTrue();
     assertThat(executed).last().isEqualTo("WRITE q0");
   }
+
+  /** Guards against values of a former caller under which the next statement would run. */
+  @Test
+  void connectionWhoseResetIsRefusedIsNotUsedAgain() throws IOException {
+    SessionData caller = session("s", true, "q1");
+    caller.settings().setValue("crew", "7");
+    execute(caller, "s");
+    refused = TargetCommand.Reset.class::isInstance;
+    replies.clear();
+    connection.probe(loop.nowNanos() + TIMEOUT_NANOS, replies::add);
+    runUntil(() -> !replies.isEmpty());
+    assertThat(replies.get(0).ok()).isFalse();
+    assertThat(values).containsEntry("crew", "7");
+    assertThat(connection.isOpen()).isFalse();
+  }
 }
