--- a/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/ChannelHandler.java
@@ -14,9 +14,10 @@
   void received(ByteBuffer in);
 
   /**
-   * Returns whether {@code chunk}, received after the beginning of a message, may contain the
-   * message's end. If not, it is kept and {@link #received} is not called yet, so that a message
-   * that arrives in many pieces is not scanned from its start for each of them.
+   * Returns whether the message whose beginning was received before may end in {@code chunk}: the
+   * last byte received before, and the bytes received now. If not, they are kept and {@link
+   * #received} is not called yet, so that a message that arrives in many pieces is not scanned from
+   * its start for each of them.
    */
   default boolean mayCompleteMessage(ByteBuffer chunk) {
     return true;
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -251,14 +251,18 @@
     }
     loop.clock().refresh();
     buffer.flip();
-    if (unread != null
-        && unread.position() + buffer.remaining() <= handler.maxMessageBytes()
-        && !handler.mayCompleteMessage(buffer.duplicate())) {
+    ByteBuffer in = buffer;
+    if (unread != null) {
+      int lastUnread = unread.position() - 1;
       appendUnread(buffer);
-      exceedsMemory();
-      return;
+      if (unread.position() <= handler.maxMessageBytes()
+          && !handler.mayCompleteMessage(unread.duplicate().flip().position(lastUnread))) {
+        exceedsMemory();
+        return;
+      }
+      in = unread.flip();
+      setUnread(null);
     }
-    ByteBuffer in = prependUnread(buffer);
     handler.received(in);
     if (closed) {
       return;
@@ -266,16 +270,6 @@
     saveUnread(in);
   }
 
-  private ByteBuffer prependUnread(ByteBuffer buffer) {
-    if (unread == null) {
-      return buffer;
-    }
-    appendUnread(buffer);
-    ByteBuffer joined = unread.flip();
-    setUnread(null);
-    return joined;
-  }
-
   /** Replaces the unread bytes and accounts for their memory. */
   private void setUnread(ByteBuffer newUnread) {
     loop.addUnreadBytes(accounted(newUnread) - accounted(unread));
--- a/proxy/src/main/java/io/hickorydrift/proxy/port/TargetCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/port/TargetCodec.java
@@ -18,7 +18,8 @@
   TargetMessage decode(ByteBuffer in);
 
   /**
-   * Returns whether {@code received} may contain the end of a message; false only if it does not.
+   * Returns whether a message may end in {@code received}, which begins with the last byte received
+   * before; false only if none does.
    */
   boolean mayCompleteMessage(ByteBuffer received);
 
