Don't take a repeated HTTP response for that of the next call

What is seen: over a persistent connection to the store or to the promotion endpoint, a call that starts right after another one can get the former response once more, if the server sent it twice: an old revision, an old declaration or an acceptance of another promotion.

Cause: HTTP/1.1 matches responses to requests by order alone. Bytes that arrive on an idle connection close it, but only when the event loop reads them; a call that was started before that read reused the connection, and the bytes were parsed as its response.

Change: before an idle connection is reused, it is read once. It is closed if anything has arrived, and the call opens another one.

Why it works: all bytes that arrive before the next request is written are seen either by the event loop or by this read. A repeat that arrives after the request was written can't be told here; what the store's answers carry is checked separately.

The other new tests passed before and now: a byte while nothing is outstanding, bytes beyond the Content-Length, a body shorter than it, a late response after a time-out, interim responses.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -20,8 +20,9 @@
  * Calls one HTTP server over persistent connections, with one call at a time on each. Uses Jetty's
  * parser on the event loop's thread, since Jetty's own client would add a thread pool.
  *
- * <p>Invariant: each call ends exactly once; a connection whose call timed out is closed and not
- * reused. Thread safety: confined to the event loop's thread.
+ * <p>A response names no request, so that order alone tells which call it answers. Invariant: each
+ * call ends exactly once; a connection is closed and not reused if its call timed out, or if a byte
+ * arrived on it while no call was outstanding. Thread safety: confined to the event loop's thread.
  */
 public final class HttpClient {
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -42,13 +43,27 @@
 
   /** Sends {@code request} and passes on the result, after {@code timeoutMs} at the latest. */
   public void call(HttpRequest request, long timeoutMs, Consumer<HttpResult> onResult) {
-    Connection connection = idle.pollLast();
+    Connection connection = pollQuietConnection();
     if (connection == null) {
       connection = new Connection();
     }
     connection.start(request, timeoutMs, onResult);
   }
 
+  /**
+   * Returns an idle connection on which nothing has arrived since its last response, or null. What
+   * has arrived would count as the response to the next call.
+   */
+  private Connection pollQuietConnection() {
+    for (Connection next = idle.pollLast(); next != null; next = idle.pollLast()) {
+      if (next.channel.isQuiet()) {
+        return next;
+      }
+      next.channel.close();
+    }
+    return null;
+  }
+
   /** Sends further calls to {@code newAddress}; ends calls in progress at another address. */
   public void setAddress(String newAddress) {
     if (newAddress.equals(address)) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/TcpChannel.java
@@ -229,6 +229,22 @@
     }
   }
 
+  /**
+   * Returns whether the connection is open and no byte has arrived that the handler was not given.
+   * An arrived byte is lost, so that the connection can only be closed then.
+   */
+  public boolean isQuiet() {
+    if (closed || unread != null) {
+      return false;
+    }
+    try {
+      // The buffer of the event loop may be in use.
+      return socket.read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private void read() throws IOException {
     ByteBuffer buffer = loop.readBuffer().clear();
     int count = socket.read(buffer);
--- a/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/net/HttpClientTest.java
@@ -169,4 +169,97 @@
     loop.run();
     assertThat(results).extracting(result -> result.header("X-Count")).containsExactly("7", null);
   }
+
+  @Test
+  void doesNotTakeRepeatedResponseForTheResponseToTheNextCall() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      HttpClient client = new HttpClient(loop, server.address());
+      client.call(REQUEST, 2_000, results::add);
+      RawHttpServer.Connection first = server.accept();
+      first.answer("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nold");
+      server.runUntil(() -> results.size() == 1);
+      first.send("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nold");
+      client.call(REQUEST, 2_000, results::add);
+      server.accept().answer("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nnew");
+      server.runUntil(() -> results.size() == 2);
+      assertThat(bodies()).containsExactly("old", "new");
+    }
+  }
+
+  @Test
+  void closesConnectionOnWhichBytesArriveWhileNoCallIsOutstanding() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      HttpClient client = new HttpClient(loop, server.address());
+      client.call(REQUEST, 2_000, results::add);
+      RawHttpServer.Connection first = server.accept();
+      first.answer("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nold");
+      server.runUntil(() -> results.size() == 1);
+      first.send("x");
+      assertThat(first.isClosedByClient()).isTrue();
+    }
+  }
+
+  @Test
+  void doesNotTakeLateResponseOfTimedOutCallForTheResponseToTheNextCall() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      HttpClient client = new HttpClient(loop, server.address());
+      client.call(REQUEST, 50, results::add);
+      RawHttpServer.Connection first = server.accept();
+      server.runUntil(() -> results.size() == 1);
+      assertThat(first.isClosedByClient()).isTrue();
+      client.call(REQUEST, 2_000, results::add);
+      server.accept().answer("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nnew");
+      server.runUntil(() -> results.size() == 2);
+      assertThat(results).extracting(HttpResult::status).containsExactly(HttpResult.NO_ANSWER, 200);
+      assertThat(bodies().get(1)).isEqualTo("new");
+    }
+  }
+
+  @Test
+  void closesConnectionWithBytesBeyondTheContentLength() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      HttpClient client = new HttpClient(loop, server.address());
+      client.call(REQUEST, 2_000, results::add);
+      RawHttpServer.Connection first = server.accept();
+      first.answer("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 -\r\n");
+      server.runUntil(() -> results.size() == 1);
+      assertThat(bodies()).containsExactly("old");
+      assertThat(first.isClosedByClient()).isTrue();
+    }
+  }
+
+  @Test
+  void failsCallWhoseBodyIsShorterThanTheContentLength() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      new HttpClient(loop, server.address()).call(REQUEST, 2_000, results::add);
+      RawHttpServer.Connection first = server.accept();
+      first.answer("HTTP/1.1 200 -\r\nContent-Length: 30\r\n\r\nold");
+      first.close();
+      server.runUntil(() -> results.size() == 1);
+      assertThat(results).extracting(HttpResult::status).containsExactly(HttpResult.NO_ANSWER);
+    }
+  }
+
+  @Test
+  void waitsForTheFinalResponseAfterInterimOnes() throws IOException {
+    try (RawHttpServer server = new RawHttpServer(loop)) {
+      HttpClient client = new HttpClient(loop, server.address());
+      client.call(REQUEST, 2_000, results::add);
+      RawHttpServer.Connection first = server.accept();
+      first.answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 -\r\nLink: x\r\n\r\n");
+      first.send("HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nnew");
+      server.runUntil(() -> results.size() == 1);
+      client.call(REQUEST, 2_000, results::add);
+      first.answer("HTTP/1.1 204 -\r\n\r\n");
+      server.runUntil(() -> results.size() == 2);
+      assertThat(results).extracting(HttpResult::status).containsExactly(200, 204);
+      assertThat(bodies()).containsExactly("new", "");
+    }
+  }
+
+  private List<String> bodies() {
+    return results.stream()
+        .map(result -> new String(result.body(), StandardCharsets.UTF_8))
+        .toList();
+  }
 }
