Don't take a repeated store answer for that to the next call

What is seen: an answer of the store that is sent again, after the next call was sent on its connection, counts as the answer to that call. A lease grant names a lease that is another's or is in use already, an earlier write's revision becomes a fence, a conflict of another key ends a promotion attempt, a page of items is read twice and its successor is skipped, and an old page is a proof that the declaration is current.

Cause: HTTP matches answers to calls by order alone, and the client took what an answer carries without comparing it to the call.

Change: before a connection is reused, the answer is compared to its call.

What is not told apart: equal answers, such as a lease renewed twice, an empty watch, or a page read again without a change between.

--- a/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/net/HttpClient.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
@@ -43,11 +44,24 @@
 
   /** Sends {@code request} and passes on the result, after {@code timeoutMs} at the latest. */
   public void call(HttpRequest request, long timeoutMs, Consumer<HttpResult> onResult) {
+    call(request, timeoutMs, response -> true, onResult);
+  }
+
+  /**
+   * Sends {@code request} and passes on the result, after {@code timeoutMs} at the latest. A
+   * response that {@code belongs} rejects is that to another call: its connection is closed, and
+   * this call has no answer.
+   */
+  public void call(
+      HttpRequest request,
+      long timeoutMs,
+      Predicate<HttpResult> belongs,
+      Consumer<HttpResult> onResult) {
     Connection connection = pollQuietConnection();
     if (connection == null) {
       connection = new Connection();
     }
-    connection.start(request, timeoutMs, onResult);
+    connection.start(request, timeoutMs, belongs, onResult);
   }
 
   /**
@@ -83,6 +97,7 @@
   private final class Connection implements ChannelHandler, HttpParser.ResponseHandler {
     private final HttpParser parser = new HttpParser((HttpParser.ResponseHandler) this);
     private TcpChannel channel;
+    private Predicate<HttpResult> belongs;
     private Consumer<HttpResult> pendingCallback;
     private EventLoop.Timer timer;
     private final Map<String, String> headers = new HashMap<>();
@@ -91,7 +106,12 @@
     private boolean closing;
     private boolean messageDone;
 
-    private void start(HttpRequest request, long timeoutMs, Consumer<HttpResult> onResult) {
+    private void start(
+        HttpRequest request,
+        long timeoutMs,
+        Predicate<HttpResult> responseTest,
+        Consumer<HttpResult> onResult) {
+      belongs = responseTest;
       pendingCallback = onResult;
       busy.add(this);
       timer = loop.after(timeoutMs, () -> fail("no response in time"));
@@ -146,12 +166,17 @@
       if (status < FIRST_FINAL_STATUS) {
         return;
       }
+      HttpResult result = new HttpResult(status, body, Map.copyOf(headers));
+      if (!belongs.test(result)) {
+        fail("response to another call");
+        return;
+      }
       if (closing || surplus) {
         channel.close();
       } else if (!channel.isClosed()) {
         idle.addLast(this);
       }
-      complete(new HttpResult(status, body, Map.copyOf(headers)));
+      complete(result);
     }
 
     @Override
