Run nothing that was sent ahead of the end of a session

What callers saw: a caller that sends ahead got a second answer after the refusal that ended its session (ERROR NODB, then READY), and requests behind the refusal ran: a write behind a message that is too large was committed, though the connection was closed without an answer to it. A transaction begun there was known to no session any more, so that nothing would have ended it before its target did.

Cause: a refusal ends the session and closes its connection once the bytes are sent. Until then the connection isn't closed, and that alone was asked before the next message was read, dispatched or answered.

Change: a session that has ended stays ended: it reads, dispatches and answers nothing, and is removed once.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -19,7 +19,8 @@
  * arrival. A connection whose caller has closed its sending direction is closed after the answers
  * to the requests received before.
  *
- * <p>Thread safety: confined to the loop's thread.
+ * <p>Invariant: nothing runs after the end of the session, whatever its caller has sent ahead.
+ * Thread safety: confined to the loop's thread.
  */
 final class CallerSession implements ChannelHandler {
   // A caller that follows the protocol sends one statement and waits for its answer. The requests
@@ -52,6 +53,7 @@
   private SingleStatement single;
   private boolean running;
   private boolean closeAfterAnswer;
+  private boolean ended;
   private long receivedNanos;
   private long answeredNanos;
 
@@ -66,7 +68,7 @@
   @Override
   public void received(ByteBuffer in) {
     backlogged = false;
-    while (!channel.isClosed()) {
+    while (!hasEnded()) {
       if (queued.size() >= MAX_QUEUED_STATEMENTS || queuedBytes >= MAX_QUEUED_BYTES) {
         backlogged = true;
         channel.pauseReading();
@@ -81,6 +83,11 @@
       queuedBytes += in.position() - start;
       handleNext();
     }
+    in.position(in.limit());
+  }
+
+  private boolean hasEnded() {
+    return ended || channel.isClosed();
   }
 
   @Override
@@ -89,7 +96,7 @@
   }
 
   private void handleNext() {
-    while (!running && !queued.isEmpty() && !channel.isClosed()) {
+    while (!running && !queued.isEmpty() && !hasEnded()) {
       if (channel.unsentBytes() > MAX_UNSENT_BYTES) {
         // The caller reads more slowly than it sends.
         channel.notifyWhenSent();
@@ -100,7 +107,7 @@
       queuedBytes -= next.bytes;
       dispatch(next.message);
     }
-    if (running || channel.isClosed()) {
+    if (running || hasEnded()) {
       return;
     }
     if (backlogged) {
@@ -160,7 +167,7 @@
             open,
             () -> {
               running = false;
-              if (!channel.isClosed()) {
+              if (!hasEnded()) {
                 finishOpening(open);
                 handleNext();
               }
@@ -381,7 +388,7 @@
               @Override
               public void admitted() {
                 running = false;
-                if (!channel.isClosed()) {
+                if (!hasEnded()) {
                   onAdmitted.accept(admission);
                   handleNext();
                 }
@@ -390,7 +397,7 @@
               @Override
               public void refused(String reason) {
                 running = false;
-                if (!channel.isClosed()) {
+                if (!hasEnded()) {
                   refuse(statement, admission.withRefusal(FailureCode.BUSY, reason));
                   handleNext();
                 }
@@ -412,7 +419,7 @@
   private void handleOutcome(Statement statement, StatementOutcome outcome) {
     running = false;
     single = null;
-    if (channel.isClosed()) {
+    if (hasEnded()) {
       return;
     }
     if (outcome.failure() != null) {
@@ -529,6 +536,10 @@
   }
 
   private void ended() {
+    if (ended) {
+      return;
+    }
+    ended = true;
     if (single != null) {
       single.cancel();
     }
