Take no repeated answer of a target for that of another command

Cause: answers were matched to commands by order alone. A repeat that arrived after the next command was sent answered that one, and each later answer on the connection was one off.

An answer is now proved to be a command's own by what it carries (AnswerMatcher): a signature that is new on the connection where one is due, the state that the command leads to, a position that does not go back and grows with each commit of writes, rows that do not begin with an earlier row. What is proved to be a repeat is ignored, so that a target that repeats answers costs no connections for them. Where neither can be shown, the connection is closed and the caller hears that: reads go elsewhere, a write or commit that was sent is in doubt, a transaction whose commit was not sent is aborted, which closing makes true. A failure has no identity; one that earlier messages could make up promises nothing. The proxy's own commands have no signature: a repeated success of those that cannot be refused says nothing wrong; a begin that may be a repeat is confirmed by a report inside the transaction, on targets that are known to repeat answers.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
@@ -21,10 +21,11 @@
 
   private final Set<Long> signatures = new HashSet<>();
   private final Set<Long> rows = new HashSet<>();
+  private final Set<Long> results = new HashSet<>();
   private final Set<Long> ends = new HashSet<>();
-  private final Set<Long> unsigned = new HashSet<>();
   private final Set<Long> failures = new HashSet<>();
   private Position highest;
+  private boolean unsignedSeen;
   private int answerCount;
 
   int answerCount() {
@@ -39,16 +40,27 @@
     return rows.contains(TextHash.of(row));
   }
 
+  /** Returns whether an answer with a signature had just these rows. */
+  boolean hasResult(List<String> answerRows) {
+    return results.contains(hash(answerRows));
+  }
+
   boolean hasEnd(TargetMessage.Ready end) {
     return ends.contains(hash(end));
   }
 
+  /** Returns whether earlier messages could make up such an answer without a signature. */
   boolean hasUnsigned(List<String> answerRows, TargetMessage.Ready end) {
-    return unsigned.contains(hash(answerRows, end));
+    return unsignedSeen && hasEnd(end) && answerRows.stream().allMatch(this::hasRow);
   }
 
+  /** Returns whether earlier messages could make up such an answer. */
   boolean hasFailure(TargetMessage.Failure failure, TargetMessage.Ready end) {
-    return failures.contains(hash(failure, end));
+    return failures.contains(hash(failure)) && hasEnd(end);
+  }
+
+  boolean hasFailures() {
+    return !failures.isEmpty();
   }
 
   /** Returns whether the log was longer than at {@code position} in an earlier answer. */
@@ -67,18 +79,21 @@
 
   void addSigned(String signature, List<String> answerRows, TargetMessage.Ready end) {
     signatures.add(TextHash.of(signature));
+    if (answerRows.size() > 1) {
+      results.add(hash(answerRows));
+    }
     answerRows.forEach(row -> rows.add(TextHash.of(row)));
     addEnd(end);
   }
 
   void addUnsigned(List<String> answerRows, TargetMessage.Ready end) {
-    unsigned.add(hash(answerRows, end));
+    unsignedSeen = true;
     answerRows.forEach(row -> rows.add(TextHash.of(row)));
     addEnd(end);
   }
 
   void addFailure(TargetMessage.Failure failure, List<String> answerRows, TargetMessage.Ready end) {
-    failures.add(hash(failure, end));
+    failures.add(hash(failure));
     answerRows.forEach(row -> rows.add(TextHash.of(row)));
     addEnd(end);
   }
@@ -86,8 +101,8 @@
   private void addEnd(TargetMessage.Ready end) {
     answerCount++;
     ends.add(hash(end));
-    if (end.position() != null) {
-      highest = Positions.later(highest, end.position());
+    if (end.position() != null && Positions.compare(end.position(), highest) > 0) {
+      highest = end.position();
     }
   }
 
@@ -97,16 +112,16 @@
     return position == null ? hash : mix(mix(hash, position.term()), position.index());
   }
 
-  private static long hash(List<String> answerRows, TargetMessage.Ready end) {
-    long hash = hash(end);
+  private static long hash(List<String> answerRows) {
+    long hash = answerRows.size();
     for (String row : answerRows) {
       hash = mix(hash, TextHash.of(row));
     }
     return hash;
   }
 
-  private static long hash(TargetMessage.Failure failure, TargetMessage.Ready end) {
-    return mix(mix(hash(end), failure.code().ordinal()), TextHash.of(failure.text()));
+  private static long hash(TargetMessage.Failure failure) {
+    return mix(TextHash.of(failure.text()), failure.code().ordinal());
   }
 
   private static long mix(long hash, long value) {
--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -1,6 +1,7 @@
 package io.hickorydrift.core.answer;
 
 import io.hickorydrift.core.statement.ExpectedAnswer;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.TargetMessage;
 import java.util.ArrayList;
@@ -42,11 +43,13 @@
   private TargetMessage outcome;
   private TargetMessage.Ready end;
   private SessionState state = SessionState.IDLE;
-  // Successes of refusable commands that may have been repeats: their own answers may still come.
-  private int doubtfulCount;
-  // Successes that may have been repeats, of any of the proxy's own commands.
+  // Answers to the proxy's own commands that may have been repeats: the commands' own answers may
+  // still come.
   private int equalCount;
+  // Those of commands that may be refused.
+  private int doubtfulCount;
   private boolean mayBeRepeat;
+  private boolean outOfStep;
   private boolean emptyReadSeen;
   private boolean rowlessWriteSeen;
   private String finding = "";
@@ -71,6 +74,14 @@
     return state;
   }
 
+  /**
+   * Returns whether the own answer to a command that was reported as failed may still come, so that
+   * nothing else may be sent on the connection.
+   */
+  public boolean isOutOfStep() {
+    return outOfStep;
+  }
+
   /** Returns the number of answers received. */
   public int answerCount() {
     return history.answerCount();
@@ -96,6 +107,11 @@
     return mayBeRepeat;
   }
 
+  /** Returns whether a failure of the next statement might not be told from an earlier one. */
+  public boolean mayMistakeFailure() {
+    return history.hasFailures();
+  }
+
   /** Returns what the last verdict rests on. */
   public String finding() {
     return finding;
@@ -237,7 +253,7 @@
     if (rows.size() == 1) {
       return repeatedRows > 0 && emptyReadSeen && repeatsKnown.getAsBoolean();
     }
-    if (repeatedRows > 0 && history.hasRow(rows.get(0))) {
+    if (repeatedRows > 0 && history.hasRow(rows.get(0)) && !history.hasResult(rows)) {
       return true;
     }
     for (int length = 1; length * 2 <= rows.size(); length++) {
@@ -267,14 +283,16 @@
       history.addUnsigned(rows, ready);
       return dropAnswer("a further answer to an own command");
     }
+    if (!equal && expected == ExpectedAnswer.REPORT && state == SessionState.IN_TRANSACTION) {
+      // Reports in transactions confirm a begin. What was sent before this one is answered.
+      equalCount = 0;
+      doubtfulCount = 0;
+    }
+    mayBeRepeat = equal || expected == ExpectedAnswer.REPORT && doubtfulCount > 0;
     if (equal) {
-      if (expected == ExpectedAnswer.BEGIN && repeatsKnown.getAsBoolean()) {
-        return conclude(Verdict.UNPROVED, "a begin that an earlier answer may stand for");
-      }
       equalCount++;
       doubtfulCount += expected.mayBeRefused() ? 1 : 0;
     }
-    mayBeRepeat = equal;
     history.addUnsigned(rows, ready);
     return accept(ready);
   }
@@ -282,23 +300,56 @@
   private Verdict takeFailure(
       TargetMessage.Failure failure, TargetMessage.Ready ready, ExpectedAnswer expected) {
     boolean equal = history.hasFailure(failure, ready);
-    boolean fits = expected != null && mayFollowFailure(ready.state());
+    boolean fits =
+        expected != null && mayFollowFailure(ready.state()) && mayFail(expected, failure.code());
     if (equal && (!fits || history.isPast(ready.position()))) {
       return dropAnswer("an earlier failure");
     }
     if (!fits) {
       return conclude(Verdict.UNPROVED, "a failure where none is due");
     }
-    if (equal) {
+    boolean surprising = equal && !isUsual(expected, failure.code());
+    if (surprising && expected == ExpectedAnswer.REPORT) {
+      equalCount++;
+      doubtfulCount++;
+    } else if (surprising && !isHarmless(expected)) {
       return conclude(Verdict.UNPROVED, "a failure that equals an earlier one");
+    } else if (surprising) {
+      outOfStep = true;
     }
     if (doubtfulCount > 0 && repeatsKnown.getAsBoolean()) {
       return conclude(Verdict.UNPROVED, "a failure that an earlier command may have had");
     }
+    mayBeRepeat = surprising;
     history.addFailure(failure, rows, ready);
     return accept(ready);
   }
 
+  /** Targets run reads outside transactions whether they are the primary or not. */
+  private boolean mayFail(ExpectedAnswer expected, FailureCode code) {
+    boolean needsPrimary =
+        expected == ExpectedAnswer.BEGIN
+            || expected.isSigned()
+                && (expected != ExpectedAnswer.READ || state != SessionState.IDLE);
+    return code != FailureCode.READ_ONLY || needsPrimary;
+  }
+
+  /**
+   * Returns whether the same failure is expected again and again: begins are tried at a target that
+   * is no longer the primary until it is known which one is.
+   */
+  private boolean isUsual(ExpectedAnswer expected, FailureCode code) {
+    return code == FailureCode.READ_ONLY
+        && expected == ExpectedAnswer.BEGIN
+        && !repeatsKnown.getAsBoolean();
+  }
+
+  /** Returns whether a failure that is none can be reported: the caller loses a retry at most. */
+  private boolean isHarmless(ExpectedAnswer expected) {
+    return state == SessionState.IDLE
+        && (expected == ExpectedAnswer.READ || expected == ExpectedAnswer.BEGIN);
+  }
+
   private boolean mayFollowFailure(SessionState after) {
     return (after == SessionState.IDLE) == (state == SessionState.IDLE);
   }
--- a/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
+++ b/core/src/main/java/io/hickorydrift/core/directory/TargetState.java
@@ -23,6 +23,7 @@
   private Position received;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private boolean ruledOut;
+  private boolean repeatsAnswers;
   private boolean cold;
   private long coldUntilNanos;
   private TargetEntry coldEntry;
@@ -122,6 +123,16 @@
     return ruledOut;
   }
 
+  /** Records that the target has sent an answer, or a part of one, again. */
+  public void recordRepeatedAnswer() {
+    repeatsAnswers = true;
+  }
+
+  /** Returns whether the target is known to repeat answers. */
+  public boolean repeatsAnswers() {
+    return repeatsAnswers;
+  }
+
   /** Returns whether the target is in an evacuated failure domain. */
   public boolean isEvacuated() {
     return evacuations.isEvacuated(entry.failureDomain());
--- /dev/null
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -0,0 +1,257 @@
+package io.hickorydrift.core.answer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hickorydrift.core.answer.AnswerMatcher.Verdict;
+import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.ExpectedAnswer;
+import io.hickorydrift.core.statement.FailureCode;
+import io.hickorydrift.core.statement.SessionState;
+import io.hickorydrift.core.statement.TargetMessage;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against an answer that is taken for that of another command. */
+class AnswerMatcherTest {
+  private static final SessionState I = SessionState.IDLE;
+  private static final SessionState T = SessionState.IN_TRANSACTION;
+  private static final SessionState E = SessionState.FAILED;
+
+  private boolean repeatsKnown;
+  private final AnswerMatcher matcher = new AnswerMatcher(() -> repeatsKnown);
+
+  private static TargetMessage row(String text) {
+    return new TargetMessage.Row(text);
+  }
+
+  private static TargetMessage signed(String signature) {
+    return new TargetMessage.Complete(signature, true);
+  }
+
+  private static TargetMessage unsigned() {
+    return new TargetMessage.Complete("-", false);
+  }
+
+  private static TargetMessage failure(FailureCode code) {
+    return new TargetMessage.Failure(code, "i-1");
+  }
+
+  private static TargetMessage.Ready end(SessionState state, long index) {
+    return new TargetMessage.Ready(state, new Position(3, index));
+  }
+
+  @BeforeEach
+  void open() {
+    matcher.opened(end(I, 5));
+  }
+
+  /** Feeds messages of which only the last one may end or drop the answer. */
+  private Verdict take(ExpectedAnswer expected, TargetMessage... messages) {
+    Verdict verdict = Verdict.INCOMPLETE;
+    for (TargetMessage message : messages) {
+      assertThat(verdict).as("before " + message).isEqualTo(Verdict.INCOMPLETE);
+      verdict = matcher.take(message, expected);
+    }
+    return verdict;
+  }
+
+  private void answer(ExpectedAnswer expected, TargetMessage... messages) {
+    assertThat(take(expected, messages)).isEqualTo(Verdict.ANSWERED);
+  }
+
+  static Stream<Arguments> answersSentAgain() {
+    TargetMessage[] read = {row("a"), signed("s1"), end(I, 5)};
+    TargetMessage[] write = {signed("s1"), end(I, 6)};
+    TargetMessage[] own = {unsigned(), end(I, 5)};
+    return Stream.of(
+        Arguments.of(ExpectedAnswer.READ, read, ExpectedAnswer.READ),
+        Arguments.of(ExpectedAnswer.READ, read, ExpectedAnswer.WRITE),
+        Arguments.of(ExpectedAnswer.WRITE, write, ExpectedAnswer.READ),
+        Arguments.of(ExpectedAnswer.WRITE, write, ExpectedAnswer.WRITE),
+        Arguments.of(ExpectedAnswer.WRITE, write, ExpectedAnswer.BEGIN),
+        Arguments.of(ExpectedAnswer.WRITE, write, null),
+        Arguments.of(ExpectedAnswer.SETUP, own, ExpectedAnswer.READ),
+        Arguments.of(ExpectedAnswer.SETUP, own, ExpectedAnswer.WRITE),
+        Arguments.of(ExpectedAnswer.SETUP, own, ExpectedAnswer.BEGIN),
+        Arguments.of(ExpectedAnswer.SETUP, own, ExpectedAnswer.REPORT),
+        Arguments.of(ExpectedAnswer.SETUP, own, null));
+  }
+
+  @ParameterizedTest
+  @MethodSource("answersSentAgain")
+  void answerThatIsSentAgainIsNotThatOfTheNextCommand(
+      ExpectedAnswer first, TargetMessage[] messages, ExpectedAnswer next) {
+    answer(first, messages);
+    assertThat(take(next, messages)).isEqualTo(Verdict.REPEATED);
+    if (next != null && next.isSigned()) {
+      answer(next, signed("s2"), end(I, 7));
+      assertThat(matcher.outcome()).isEqualTo(signed("s2"));
+      assertThat(matcher.rows()).isEmpty();
+    }
+  }
+
+  @Test
+  void rowThatIsSentAgainIsNoRowOfTheNextRead() {
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 5));
+    assertThat(take(ExpectedAnswer.READ, row("a"), row("b"), signed("s2"), end(I, 5)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void rowThatIsSentAgainIsNoRowOfTheNextWrite() {
+    answer(ExpectedAnswer.WRITE, signed("s0"), end(I, 6));
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 6));
+    answer(ExpectedAnswer.WRITE, row("a"), signed("s2"), end(I, 7));
+    assertThat(matcher.rows()).isEmpty();
+  }
+
+  @Test
+  void equalResultOfTheSameReadIsServed() {
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 5));
+    answer(ExpectedAnswer.READ, row("a"), signed("s2"), end(I, 5));
+    assertThat(matcher.rows()).containsExactly("a");
+  }
+
+  @Test
+  void answerThatBrokeOffIsNotGluedToItsRepeat() {
+    TargetMessage glued = new TargetMessage.Row("abDATAROW abc", "ab", "abc");
+    assertThat(take(ExpectedAnswer.READ, glued)).isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void rowsThatComeTwiceAreNotServed() {
+    assertThat(take(ExpectedAnswer.READ, row("a"), row("a"), row("b"), signed("s"), end(I, 5)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void endThatIsSentAgainIsNotTheEndOfTheNextCommit() {
+    answer(ExpectedAnswer.WRITE, signed("s1"), end(I, 6));
+    assertThat(take(ExpectedAnswer.WRITE, signed("s2"), end(I, 6))).isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.WRITE, end(I, 7));
+    assertThat(matcher.outcome()).isEqualTo(signed("s2"));
+    assertThat(matcher.end()).isEqualTo(end(I, 7));
+  }
+
+  @Test
+  void openingThatIsSentAgainEndsNothing() {
+    assertThat(take(ExpectedAnswer.READ, end(I, 5))).isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 5));
+  }
+
+  @Test
+  void failureThatIsSentAgainPromisesNothing() {
+    answer(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 5));
+    assertThat(matcher.mayMistakeFailure()).isTrue();
+    assertThat(take(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 5)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void connectionIsLeftAfterReadWhoseFailureMayBeRepeated() {
+    answer(ExpectedAnswer.READ, failure(FailureCode.LAGGING), end(I, 5));
+    assertThat(matcher.isOutOfStep()).isFalse();
+    answer(ExpectedAnswer.READ, failure(FailureCode.LAGGING), end(I, 5));
+    assertThat(matcher.mayBeRepeat()).isTrue();
+    assertThat(matcher.isOutOfStep()).isTrue();
+  }
+
+  @Test
+  void equalResultOfSeveralRowsIsServed() {
+    answer(ExpectedAnswer.READ, row("a"), row("b"), signed("s1"), end(I, 5));
+    answer(ExpectedAnswer.READ, row("a"), row("b"), signed("s2"), end(I, 5));
+  }
+
+  @Test
+  void failureOfAnEarlierPositionIsIgnored() {
+    answer(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 5));
+    answer(ExpectedAnswer.WRITE, signed("s1"), end(I, 6));
+    assertThat(take(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 5)))
+        .isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.WRITE, signed("s2"), end(I, 7));
+  }
+
+  @Test
+  void failureInAnotherStateIsIgnored() {
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    answer(ExpectedAnswer.READ, failure(FailureCode.BUSY), end(E, 5));
+    answer(ExpectedAnswer.ROLLBACK, unsigned(), end(I, 5));
+    assertThat(take(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(E, 5)))
+        .isEqualTo(Verdict.REPEATED);
+  }
+
+  @Test
+  void refusalOfTargetThatIsNotThePrimaryMayRecur() {
+    for (int i = 0; i < 3; i++) {
+      answer(ExpectedAnswer.BEGIN, failure(FailureCode.READ_ONLY), end(I, 5));
+    }
+    assertThat(matcher.isOutOfStep()).isFalse();
+    assertThat(take(ExpectedAnswer.READ, failure(FailureCode.READ_ONLY), end(I, 5)))
+        .isEqualTo(Verdict.REPEATED);
+  }
+
+  @Test
+  void beginThatEqualsAnEarlierOneIsMarked() {
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    assertThat(matcher.mayBeRepeat()).isFalse();
+    answer(ExpectedAnswer.ROLLBACK, unsigned(), end(I, 5));
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    assertThat(matcher.mayBeRepeat()).isTrue();
+    // The command's own answer, if that was a repeat.
+    assertThat(take(ExpectedAnswer.REPORT, unsigned(), end(T, 5))).isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.REPORT, row("primary 3"), unsigned(), end(T, 5));
+    assertThat(matcher.mayBeRepeat()).isFalse();
+  }
+
+  @Test
+  void refusalBehindRepeatedBeginIsNotThatOfTheStatement() {
+    repeatsKnown = true;
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    answer(ExpectedAnswer.ROLLBACK, unsigned(), end(I, 5));
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    assertThat(take(ExpectedAnswer.WRITE_IN_TRANSACTION, failure(FailureCode.READ_ONLY), end(E, 5)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void reportThatEqualsAnEarlierOneIsMarked() {
+    answer(ExpectedAnswer.REPORT, row("replica 3"), unsigned(), end(I, 5));
+    answer(ExpectedAnswer.REPORT, row("replica 3"), unsigned(), end(I, 5));
+    assertThat(matcher.mayBeRepeat()).isTrue();
+    answer(ExpectedAnswer.REPORT, row("replica 4"), unsigned(), end(I, 6));
+    assertThat(matcher.mayBeRepeat()).isTrue();
+  }
+
+  static Stream<List<TargetMessage>> answersOfNoCommand() {
+    return Stream.of(
+        List.of(row("new")),
+        List.of(signed("new"), end(I, 5)),
+        List.of(unsigned(), end(I, 5)),
+        List.of(failure(FailureCode.BUSY), end(I, 5)),
+        List.of(end(I, 6)),
+        List.of(new TargetMessage.Unreadable("cut off")));
+  }
+
+  @ParameterizedTest
+  @MethodSource("answersOfNoCommand")
+  void newAnswerThatNoCommandAwaitsIsUnproved(List<TargetMessage> messages) {
+    assertThat(take(null, messages.toArray(TargetMessage[]::new))).isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void signatureBehindLostAnswerIsUnproved() {
+    assertThat(take(ExpectedAnswer.SETUP, signed("s1"), end(I, 5))).isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void successInAnotherStateIsUnproved() {
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    assertThat(take(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 6)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+}
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -24,10 +24,11 @@
 
 /**
  * A connection to a target on behalf of one organisation. Commands are pipelined and answered in
- * order.
+ * order; {@link AnswerMatcher} tells their answers from repeats.
  *
  * <p>Invariant: each command ends exactly once; a connection with a missing, late or malformed
- * answer is closed and never reused. Thread safety: confined to the loop's thread.
+ * answer, or one that may belong to another command, is closed and never reused. Thread safety:
+ * confined to the loop's thread.
  */
 final class TargetConnection implements ChannelHandler {
   /** A command that awaits its answer. */
@@ -35,10 +36,8 @@
     private final TargetCommand command;
     private final long deadlineNanos;
     private final Consumer<TargetReply> onReply;
-    private final List<String> rows = new ArrayList<>(1);
     private long sentNanos;
     private boolean sent;
-    private TargetMessage outcome;
 
     private PendingCommand(
         TargetCommand command, long sentNanos, long deadlineNanos, Consumer<TargetReply> onReply) {
@@ -56,10 +55,12 @@
   private final TargetPool pool;
   private final TcpChannel channel;
   private final int number;
-  private final AnswerMatcher matcher = new AnswerMatcher(() -> false);
+  private final AnswerMatcher matcher = new AnswerMatcher(() -> target().repeatsAnswers());
   // Connecting takes a few milliseconds, and longer only if the target is partitioned from
   // this instance or unreachable.
   private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
+  // Bounds the memory for what was received: about 200 bytes for an answer.
+  private static final int MAX_ANSWERS = 1_000;
 
   private final long openDeadlineNanos;
   private final long connectDeadlineNanos;
@@ -68,7 +69,6 @@
   private final Map<String, String> sessionValues = new HashMap<>();
   private final PreparedNames preparedNames = new PreparedNames();
   private boolean open;
-  private SessionState state = SessionState.IDLE;
   private long lastReceivedNanos;
 
   TargetConnection(
@@ -113,7 +113,20 @@
   }
 
   SessionState state() {
-    return state;
+    return matcher.state();
+  }
+
+  /**
+   * Returns whether no further command may be sent: there were too many answers to remember them
+   * all, or an answer may still come that no command awaits.
+   */
+  boolean isUsedUp() {
+    return matcher.answerCount() >= MAX_ANSWERS || matcher.isOutOfStep();
+  }
+
+  /** Returns whether the failure of a statement sent now might be that of an earlier one. */
+  boolean mayMistakeFailure() {
+    return matcher.mayMistakeFailure();
   }
 
   /** Returns the time at which data was last received from the target on this connection. */
@@ -278,29 +291,21 @@
       handleFirst(message);
       return;
     }
-    observe(message);
-    PendingCommand current = pendingCommands.peekFirst();
-    if (current == null || message instanceof TargetMessage.Unreadable) {
-      close("unexpected message");
-    } else if (message instanceof TargetMessage.Row row) {
-      current.rows.add(row.text());
-    } else if (message instanceof TargetMessage.Ready ready) {
-      finish(ready);
-    } else if (current.outcome == null) {
-      current.outcome = message;
-    } else {
-      close("second outcome for one command");
-    }
-  }
-
-  private void observe(TargetMessage message) {
     PendingCommand current = pendingCommands.peekFirst();
     boolean awaited = current != null && current.sent;
     ExpectedAnswer expected = awaited ? current.command.expectedAnswer() : null;
     AnswerMatcher.Verdict verdict = matcher.take(message, expected);
-    if (verdict == AnswerMatcher.Verdict.REPEATED || verdict == AnswerMatcher.Verdict.UNPROVED) {
+    if (verdict == AnswerMatcher.Verdict.ANSWERED) {
+      finish();
+    } else if (verdict != AnswerMatcher.Verdict.INCOMPLETE) {
       String id = awaited ? current.command.callerId() : TargetCommand.NO_CALLER;
-      pool.answerObserver().onUnexpected(this, id, expected, message, verdict, matcher.finding());
+      String finding = matcher.finding();
+      pool.answerObserver().onUnexpected(this, id, expected, message, verdict, finding);
+      if (verdict == AnswerMatcher.Verdict.REPEATED) {
+        target.recordRepeatedAnswer();
+      } else {
+        close("answer not proved: " + finding);
+      }
     }
   }
 
@@ -318,47 +323,62 @@
     }
   }
 
-  private void finish(TargetMessage.Ready ready) {
+  private void finish() {
     PendingCommand current = pendingCommands.removeFirst();
-    state = ready.state();
-    target.recordApplied(ready.position());
+    target.recordApplied(matcher.end().position());
     recordAnswer(current);
-    if (current.outcome instanceof TargetMessage.Complete complete) {
-      current.onReply.accept(
-          new TargetReply(
-              current.rows,
-              complete.signature(),
-              null,
-              "",
-              state,
-              ready.position(),
-              current.sentNanos));
-    } else if (current.outcome instanceof TargetMessage.Failure failure) {
-      current.onReply.accept(
-          new TargetReply(
-              current.rows,
-              null,
-              failure.code(),
-              failure.text(),
-              state,
-              ready.position(),
-              current.sentNanos));
+    TargetReply reply = reply(current);
+    boolean mayHaveBegun =
+        reply.ok() && reply.mayBeRepeat() && current.command instanceof TargetCommand.Begin;
+    if (mayHaveBegun && target.repeatsAnswers()) {
+      confirmBegin(current, reply);
     } else {
-      pendingCommands.addFirst(current);
-      close("answer without outcome");
+      current.onReply.accept(reply);
     }
     if (pendingCommands.isEmpty()) {
       pool.dispatch().onQuiet(this);
     }
   }
 
+  private TargetReply reply(PendingCommand current) {
+    boolean ok = matcher.outcome() instanceof TargetMessage.Complete;
+    TargetMessage.Failure failure = ok ? null : (TargetMessage.Failure) matcher.outcome();
+    return new TargetReply(
+        matcher.rows(),
+        ok ? ((TargetMessage.Complete) matcher.outcome()).signature() : null,
+        ok ? null : failure.code(),
+        ok ? "" : failure.text(),
+        matcher.state(),
+        matcher.end().position(),
+        matcher.mayBeRepeat(),
+        current.sentNanos);
+  }
+
+  /**
+   * Delivers a success that may be a repeat of an earlier begin's once a report has shown that the
+   * session is in a transaction: a statement that is sent without one would run outside it.
+   */
+  private void confirmBegin(PendingCommand begin, TargetReply success) {
+    run(
+        new TargetCommand.Report(),
+        begin.deadlineNanos,
+        report -> {
+          if (report.ok() && !report.mayBeRepeat()) {
+            begin.onReply.accept(success);
+          } else {
+            close("begin not confirmed");
+            begin.onReply.accept(lostReply("begin not confirmed", begin.sentNanos));
+          }
+        });
+  }
+
   private void recordAnswer(PendingCommand answered) {
     boolean statement =
         answered.command instanceof TargetCommand.Run
             || answered.command instanceof TargetCommand.Execute;
     if (statement) {
       boolean busy =
-          answered.outcome instanceof TargetMessage.Failure failure
+          matcher.outcome() instanceof TargetMessage.Failure failure
               && failure.code() == FailureCode.BUSY;
       long nanos = loop.nowNanos() - answered.sentNanos;
       pool.dispatch().recordAnswer(this, busy, nanos);
@@ -409,10 +429,17 @@
   /** Returns the reply to a command that was never sent: the target ends what was open before. */
   private static TargetReply notSentReply(long nanos) {
     return new TargetReply(
-        List.of(), null, FailureCode.ABORTED, "not sent: no slot in time", null, null, nanos);
+        List.of(),
+        null,
+        FailureCode.ABORTED,
+        "not sent: no slot in time",
+        null,
+        null,
+        false,
+        nanos);
   }
 
   private static TargetReply lostReply(String reason, long sentNanos) {
-    return new TargetReply(List.of(), null, null, reason, null, null, sentNanos);
+    return new TargetReply(List.of(), null, null, reason, null, null, false, sentNanos);
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -226,6 +226,11 @@
       return;
     }
     boolean unfit = connection.state() != SessionState.IDLE || connection.hasPendingCommands();
+    if (connection.isUsedUp()) {
+      connection.close("used up");
+      serveWaiting();
+      return;
+    }
     if (unfit || draining || connections.size() > budget.getAsInt()) {
       connection.close("not returned to the pool");
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetReply.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetReply.java
@@ -16,6 +16,8 @@
  * @param text description of the failure, from the target or from this instance
  * @param state state of the target's session; null if no reply arrived
  * @param position position that the target reported, or null
+ * @param mayBeRepeat whether it equals an earlier answer on the connection, so that it may be that
+ *     answer sent again; never of a caller's statement that succeeded
  * @param sentNanos time just before the command was sent
  */
 record TargetReply(
@@ -25,6 +27,7 @@
     String text,
     SessionState state,
     Position position,
+    boolean mayBeRepeat,
     long sentNanos) {
 
   /** Returns whether the command succeeded. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/WriteExecution.java
@@ -58,6 +58,12 @@
 
   @Override
   public void found(TargetConnection connection, Position atLeast) {
+    if (connection.mayMistakeFailure()) {
+      // A write whose failure cannot be told from an earlier one would be in doubt.
+      connection.close("an earlier failure may be repeated");
+      search.attemptFailed("connection replaced");
+      return;
+    }
     long nowNanos = context.loop().nowNanos();
     if (nowNanos - connection.lastReceivedNanos() < MAX_IDLE_NANOS) {
       write(connection);
