Write the last log line although the process stalls at its end

The test reads the file after the process has ended, into which the process writes without a pipe, so nothing was left to read: the line was never written.

Cause, by the code: the end of the process waits up to 200 ms by the clock for the thread that writes the log. When the machine does not run the process meanwhile, the time is over before that thread had a turn. Change: 20 waits of 10 ms, so that a stall uses up one of them. The time for which an unread output delays the end stays at 200 ms if the process runs.

--- a/proxy/src/main/java/io/hickorydrift/proxy/cli/LogOutput.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/cli/LogOutput.java
@@ -5,7 +5,6 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Writes the standard error stream on a thread of its own, so that a reader that is slow or gone
@@ -16,8 +15,11 @@
  */
 final class LogOutput extends OutputStream {
   private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-  // Bounds the time for which an output that is not read delays the end of the process.
-  private static final long MAX_DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  // Bound the time for which an output that is not read delays the end of the process. Several
+  // short
+  // waits, so that the writer gets its turn even if the whole process stalls during one of them.
+  private static final int MAX_DRAIN_WAITS = 20;
+  private static final long DRAIN_WAIT_MS = 10;
 
   private final OutputStream target;
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -58,16 +60,11 @@
     notifyAll();
   }
 
-  /** Waits until everything has been written, for a bounded time. */
+  /** Waits until everything has been written, for a bounded time in which the process runs. */
   synchronized void drain() {
-    long endNanos = System.nanoTime() + MAX_DRAIN_NANOS;
     try {
-      while (writing || buffered.size() > 0) {
-        long leftNanos = endNanos - System.nanoTime();
-        if (leftNanos <= 0) {
-          return;
-        }
-        TimeUnit.NANOSECONDS.timedWait(this, leftNanos);
+      for (int waits = 0; waits < MAX_DRAIN_WAITS && (writing || buffered.size() > 0); waits++) {
+        wait(DRAIN_WAIT_MS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
