Quote and escape texts of others in log lines

An id of a caller, a reason of a target or a name of the operator went into log lines as it was: a quote ended a value, a blank began another key, and a line feed, which may be part of an id or a reason, began another line. An id with {} moved the values of its line to other keys, as it was part of the format.

LogLine now formats the lines about requests, and those that name targets, peers, organisations and items of the store: values that are not plain words are put into quotes, and quotes, backslashes and control characters are escaped.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DeclarationExchange.java
@@ -95,7 +95,10 @@
     try {
       accept(peer, DocumentDelta.apply(base, change.delta()));
     } catch (IllegalArgumentException e) {
-      Logger.warn("event=declaration_change_unusable peer={} reason=\"{}\"", peer, e.getMessage());
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=declaration_change_unusable peer={} reason=\"{}\"", peer, e.getMessage()));
     }
   }
 
@@ -103,7 +106,10 @@
     try {
       declarations.accept(platform.decodeDeclaration(value), value);
     } catch (IllegalArgumentException e) {
-      Logger.warn("event=declaration_unreadable peer={} reason=\"{}\"", peer, e.getMessage());
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=declaration_unreadable peer={} reason=\"{}\"", peer, e.getMessage()));
     }
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Declarations.java
@@ -155,11 +155,14 @@
       DeclaredOrganisation before = current.organisations().get(organisation.name());
       if (before != null && !before.limit().equals(organisation.limit())) {
         Logger.info(
-            "event=limit_changed organisation={} rate_per_s={} burst={} rate_before_per_s={}",
-            organisation.name(),
-            organisation.limit().ratePerSecond(),
-            organisation.limit().burst(),
-            before.limit().ratePerSecond());
+            (Object)
+                LogLine.format(
+                    "event=limit_changed organisation={} rate_per_s={} burst={}"
+                        + " rate_before_per_s={}",
+                    organisation.name(),
+                    organisation.limit().ratePerSecond(),
+                    organisation.limit().burst(),
+                    before.limit().ratePerSecond()));
       }
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/EvacuationService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/EvacuationService.java
@@ -107,13 +107,18 @@
     String domain = key.substring(keyPrefix.length());
     if (!Evacuations.isValidName(domain)) {
       Logger.warn(
-          "event=evacuation_unreadable key=\"{}\" reason=\"no failure domain\"",
-          key.replaceAll("\\p{Cntrl}", "?"));
+          (Object)
+              LogLine.format(
+                  "event=evacuation_unreadable key=\"{}\" reason=\"no failure domain\"",
+                  key.replaceAll("\\p{Cntrl}", "?")));
       return null;
     }
     if (!knownDomains.contains(domain) && !evacuations.isEvacuated(domain)) {
       // It takes effect on targets that register there later.
-      Logger.warn("event=evacuation_domain_unknown domain={} known={}", domain, knownDomains);
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=evacuation_domain_unknown domain={} known={}", domain, knownDomains));
     }
     return domain;
   }
@@ -121,10 +126,12 @@
   private void publish(List<Evacuations.Change> changes) {
     for (Evacuations.Change change : changes) {
       Logger.info(
-          "event=evacuation domain={} state={} position={}",
-          change.domain(),
-          change.begun() ? "begun" : "ended",
-          change.position());
+          (Object)
+              LogLine.format(
+                  "event=evacuation domain={} state={} position={}",
+                  change.domain(),
+                  change.begun() ? "begun" : "ended",
+                  change.position()));
     }
     if (!changes.isEmpty()) {
       onChange.run();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/FleetEntry.java
@@ -30,7 +30,9 @@
     String text = new String(item.value(), StandardCharsets.UTF_8);
     FleetEntry entry = decode(text);
     if (entry == null) {
-      Logger.warn("event=fleet_entry_unreadable key={} entry=\"{}\"", item.key(), text);
+      Logger.warn(
+          (Object)
+              LogLine.format("event=fleet_entry_unreadable key={} entry=\"{}\"", item.key(), text));
     }
     return entry;
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
@@ -85,7 +85,10 @@
         onRequest.accept(this, message);
       }
     } catch (IllegalArgumentException e) {
-      Logger.warn("event=peer_message_unreadable peer={} reason=\"{}\"", peer, e.getMessage());
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=peer_message_unreadable peer={} reason=\"{}\"", peer, e.getMessage()));
       channel.close();
       onClosed.accept(this);
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -339,7 +339,7 @@
     if (!up) {
       up = true;
       wasUp = true;
-      Logger.info("event=peer_up peer={}", peer);
+      Logger.info((Object) LogLine.format("event=peer_up peer={}", peer));
     }
     forwards.setPeerKnowsCancel(pong.protocolVersion() >= PeerMessage.Cancel.SINCE_VERSION);
     lastPong = pong;
@@ -352,7 +352,10 @@
     open = false;
     if (up && !closing) {
       long silentMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - lastReceivedNanos);
-      Logger.warn("event=peer_lost peer={} reason=\"{}\" silent_ms={}", peer, reason, silentMs);
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=peer_lost peer={} reason=\"{}\" silent_ms={}", peer, reason, silentMs));
     }
     up = false;
     lastOpenOrCloseNanos = loop.nowNanos();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RequestLog.java
@@ -28,12 +28,21 @@
 
   /** Logs a decision about the request {@code id}. */
   void logDecision(String id, String format, Object... values) {
-    log("event=request id=" + id + " " + format, values);
+    if (tryTakeLine()) {
+      Logger.info((Object) decisionLine(id, format, values));
+    } else {
+      droppedLines++;
+    }
+  }
+
+  /** Returns the line of a decision about the request {@code id}. */
+  static String decisionLine(String id, String format, Object... values) {
+    return LogLine.format("event=request id={} ", id) + LogLine.format(format, values);
   }
 
   private void log(String format, Object... values) {
     if (tryTakeLine()) {
-      Logger.info(format, values);
+      Logger.info((Object) LogLine.format(format, values));
     } else {
       droppedLines++;
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/StoreContents.java
@@ -260,9 +260,11 @@
       declarations.markUnreadable();
       unreadableDeclaration = item;
       Logger.warn(
-          "event=declaration_unreadable revision={} reason=\"{}\"",
-          item.revision(),
-          e.getMessage());
+          (Object)
+              LogLine.format(
+                  "event=declaration_unreadable revision={} reason=\"{}\"",
+                  item.revision(),
+                  e.getMessage()));
     }
   }
 
@@ -275,16 +277,25 @@
     try {
       entry = platform.decodeTarget(item.key(), item.value());
     } catch (IllegalArgumentException e) {
-      Logger.warn("event=target_entry_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+      Logger.warn(
+          (Object)
+              LogLine.format(
+                  "event=target_entry_unreadable key={} reason=\"{}\"",
+                  item.key(),
+                  e.getMessage()));
       // Not the target's own: it stays as it is until it can be taken to be gone.
       removals.schedule(
           item.key(), UNREADABLE_ENTRY_MS, () -> directory.remove(targetId(item.key())));
       return;
     }
     if (!directory.put(entry, position)) {
-      Logger.info("event=target_entry_outdated target={} era={}", entry.id(), position.era());
+      Logger.info(
+          (Object)
+              LogLine.format(
+                  "event=target_entry_outdated target={} era={}", entry.id(), position.era()));
     } else if (removals.cancel(item.key())) {
-      Logger.info("event=written_again key={} era={}", item.key(), position.era());
+      Logger.info(
+          (Object) LogLine.format("event=written_again key={} era={}", item.key(), position.era()));
     }
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -364,11 +364,13 @@
     dispatch.onClosed(connection);
     attempts.failed(code);
     Logger.info(
-        "event=open_failed target={} organisation={} code={} reason=\"{}\"",
-        target.entry().id(),
-        connection.organisation(),
-        code,
-        reason);
+        (Object)
+            LogLine.format(
+                "event=open_failed target={} organisation={} code={} reason=\"{}\"",
+                target.entry().id(),
+                connection.organisation(),
+                code,
+                reason));
     if (target.isRuledOut()) {
       waiters.refuseAll(RULED_OUT_REASON);
     } else if (isUnreachable() || attempts.isFull() && connections.isEmpty()) {
