Answer requests that arrive with another one during a stop

What callers saw: an instance that stops closes sessions after an answer in the second half of its grace period. If a caller had sent the next request with the one that was answered, in the same segment, the connection ended without an answer to it, though the whole request had been received.

Cause: the session asked whether requests were queued. A request that has arrived together with the one being answered is still in the read buffer then.

Change: the session also keeps open while part of the bytes that arrived last is unread; it closes after the answer to the last of them.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -54,6 +54,8 @@
   private boolean running;
   private boolean closeAfterAnswer;
   private boolean ended;
+  // Whether part of the bytes that arrived last has not been handled.
+  private boolean hasUnreadInput;
   private long receivedNanos;
   private long answeredNanos;
 
@@ -76,6 +78,7 @@
       }
       int start = in.position();
       CallerMessage message = context.callerCodec().decode(in);
+      hasUnreadInput = in.hasRemaining();
       if (message == null) {
         return;
       }
@@ -447,7 +450,8 @@
       context.callerCodec().writeFailure(channel.out(), outcome.failure(), outcome.reason());
     }
     context.callerCodec().writeReady(channel.out(), state, outcome.position());
-    if (closeAfterAnswer && state == SessionState.IDLE && queued.isEmpty() && !backlogged) {
+    boolean more = !queued.isEmpty() || backlogged || hasUnreadInput;
+    if (closeAfterAnswer && state == SessionState.IDLE && !more) {
       channel.closeAfterFlush();
       ended();
     }
