Tell answers to requests of an earlier process apart in the older path

What is seen: an instance that starts again numbers the requests that it forwards from 1, as its process before did. A home sends its answer over a link of its own and tries again until the deadline, so that the answer to a request of the process before reaches the new one, and counts as the answer to the request that now has the number. An answer from a peer that was not asked counted too.

Cause: a number that is unique within a process was taken for one that is unique between the two ends.

Change: numbering begins at a random number, and an answer counts only if it comes from the peer to which the request was last sent.

--- a/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/control/Router.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -42,7 +43,9 @@
   private final PeerNetwork peers;
   private final TimerService timer;
   private final Map<Long, Attempt> inFlight = new ConcurrentHashMap<>();
-  private final AtomicLong correlationIds = new AtomicLong();
+  // A home may answer a request of the process before, over a link of its own.
+  private final AtomicLong correlationIds =
+      new AtomicLong(ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2));
   private final AtomicLong forwardedInFlight = new AtomicLong();
   private volatile HomeTable homeTable;
   private volatile Map<Integer, String> slotHolders = Map.of();
@@ -117,8 +120,9 @@
 
   /** Handles the answer of a peer to a forwarded request. */
   void onForwardAnswer(String peer, ForwardAnswer answer, Settings settings) {
-    Attempt attempt = inFlight.remove(answer.correlationId());
-    if (attempt != null) {
+    Attempt attempt = inFlight.get(answer.correlationId());
+    boolean isAnswered = attempt != null && peer.equals(attempt.peer);
+    if (isAnswered && inFlight.remove(answer.correlationId(), attempt)) {
       handleAnswer(attempt, peer, answer, settings);
     }
   }
