Don't count a report that may be an earlier one, sent again, in a survey

A promotion rests on the positions that targets report when they are asked, and a report counts for 1 s.

A report that equals an earlier one on its connection, of a target that is known to repeat answers, is now no report for a survey, and its connection is closed, so that the next request goes over another one. Confirmations of commits go on counting it: what a replica had received then it has received.

TargetConnectionTest.reportThatMayBeAnEarlierOneIsNoCurrentReport fails without the check (run with it taken out) and passes with it; equalReportsOfSoundTargetAreCurrent passes in both.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -33,7 +33,7 @@
         new AcquireListener() {
           @Override
           public void acquired(TargetConnection connection) {
-            pools.requestReport(
+            pools.requestCurrentReport(
                 connection,
                 deadlineNanos,
                 report -> onPosition.accept(report == null ? null : report.received()));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -110,11 +110,35 @@
         deadlineNanos,
         reply -> {
           connection.pool().release(connection);
-          boolean reported = reply.ok() && !reply.rows().isEmpty();
-          onReport.accept(reported ? codec.decodeReport(reply.rows().get(0)) : null);
+          onReport.accept(decodeReport(reply));
         });
   }
 
+  /**
+   * Requests a report as {@link #requestReport} does, for a decision that rests on the time of the
+   * request: a report that may be one from before, sent again, counts as none, and its connection
+   * is closed, since the next report on it might be no different.
+   */
+  void requestCurrentReport(
+      TargetConnection connection, long deadlineNanos, Consumer<TargetReport> onReport) {
+    connection.run(
+        new TargetCommand.Report(),
+        deadlineNanos,
+        reply -> {
+          boolean outdated = reply.mayBeRepeat() && connection.target().repeatsAnswers();
+          if (outdated) {
+            connection.close("report may be an earlier one");
+          }
+          connection.pool().release(connection);
+          onReport.accept(outdated ? null : decodeReport(reply));
+        });
+  }
+
+  private TargetReport decodeReport(TargetReply reply) {
+    boolean reported = reply.ok() && !reply.rows().isEmpty();
+    return reported ? codec.decodeReport(reply.rows().get(0)) : null;
+  }
+
   /**
    * Returns what the placement of a read of {@code organisation} needs to know of the pools. A read
    * that is not {@code repeatable} probes no target.
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
@@ -5,6 +5,7 @@
 import io.hickorydrift.core.directory.Directory;
 import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.scheduling.WaitingRequest;
 import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
@@ -52,12 +53,14 @@
   private final List<String> executed = new ArrayList<>();
   private final List<TargetReply> replies = new ArrayList<>();
   private Predicate<TargetCommand> refused = command -> false;
+  private String reportRow = "1";
   private TargetPool pool;
   private TargetConnection connection;
 
   /** Sends one octet for each command, in whose order a target runs them. */
   private final class CommandCodec implements TargetCodec {
     private boolean outcomeRead;
+    private boolean rowRead;
     private int handled;
 
     @Override
@@ -78,6 +81,11 @@
       if (!in.hasRemaining()) {
         return null;
       }
+      boolean report = handled >= 0 && commands.get(handled) instanceof TargetCommand.Report;
+      if (report && !rowRead) {
+        rowRead = true;
+        return new TargetMessage.Row(reportRow);
+      }
       if (handled >= 0 && !outcomeRead) {
         outcomeRead = true;
         TargetCommand command = commands.get(handled);
@@ -87,6 +95,7 @@
             : new TargetMessage.Failure(failure, "refused");
       }
       outcomeRead = false;
+      rowRead = false;
       handled++;
       in.get();
       return new TargetMessage.Ready(SessionState.IDLE, null);
@@ -99,7 +108,7 @@
 
     @Override
     public TargetReport decodeReport(String row) {
-      return null;
+      return new TargetReport(false, 3, new Position(3, Long.parseLong(row)), 0, 0, 1);
     }
   }
 
@@ -294,4 +303,33 @@
     assertThat(values).containsEntry("crew", "7");
     assertThat(connection.isOpen()).isFalse();
   }
+
+  private List<TargetReport> requestCurrentReport() throws IOException {
+    List<TargetReport> reports = new ArrayList<>();
+    new TargetPools(loop, new CommandCodec(), null, null)
+        .requestCurrentReport(connection, loop.nowNanos() + TIMEOUT_NANOS, reports::add);
+    runUntil(() -> !reports.isEmpty());
+    return reports;
+  }
+
+  /** Guards against a replica that is passed over because of an earlier report, sent again. */
+  @Test
+  void reportThatMayBeAnEarlierOneIsNoCurrentReport() throws IOException {
+    assertThat(requestCurrentReport()).doesNotContainNull();
+    acquire();
+    connection.target().recordRepeatedAnswer();
+    assertThat(requestCurrentReport()).containsOnlyNulls();
+    assertThat(connection.isOpen()).isFalse();
+    acquire();
+    assertThat(requestCurrentReport()).doesNotContainNull();
+  }
+
+  /** Targets that repeat nothing report the same thing as long as nothing happens. */
+  @Test
+  void equalReportsOfSoundTargetAreCurrent() throws IOException {
+    assertThat(requestCurrentReport()).doesNotContainNull();
+    acquire();
+    assertThat(requestCurrentReport()).doesNotContainNull();
+    assertThat(connection.isOpen()).isTrue();
+  }
 }
