Refuse a statement that is too long for targets

A statement of just under 1 MiB became longer than 1 MiB on its way to a target: a read by the position that it waits for, an execution and a preparation by the name on the target connection.

The session goes on, and an open transaction is rolled back, as after other errors.

--- a/core/src/main/java/io/hickorydrift/core/statement/StatementKind.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/StatementKind.java
@@ -12,5 +12,7 @@
   PREPARE,
   EXECUTE,
   CLOSE_PREPARED,
-  MALFORMED
+  MALFORMED,
+  /** Would be too long for targets with what the proxy adds to it. */
+  TOO_LARGE
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -233,6 +233,9 @@
       case MALFORMED:
         failMalformed("malformed statement");
         break;
+      case TOO_LARGE:
+        fail(FailureCode.TOO_LARGE, "statement too large");
+        break;
       default:
         execute(statement);
     }
@@ -266,12 +269,16 @@
   }
 
   private void failMalformed(String reason) {
+    fail(FailureCode.MALFORMED, reason);
+  }
+
+  private void fail(FailureCode code, String reason) {
     SessionState after = state;
     if (state == SessionState.IN_TRANSACTION) {
       rollBackTransaction();
       after = SessionState.FAILED;
     }
-    answer(StatementOutcome.failed(FailureCode.MALFORMED, reason, after));
+    answer(StatementOutcome.failed(code, reason, after));
   }
 
   private void begin(Statement statement) {
