Test that numbered answers end only what they name

No fault was found here; the tests show why there is none. A result of a peer that was sent twice, that names a statement which was not sent, or that names one of the link's former connection ends nothing; a repeated pong is no new status.

--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
@@ -395,4 +395,84 @@
     assertThat(forwardedIds()).containsExactly("kept");
     assertThat(ends).containsExactly("not sent");
   }
+
+  private long correlationOf(String id) {
+    return received.stream()
+        .filter(PeerMessage.Forward.class::isInstance)
+        .map(PeerMessage.Forward.class::cast)
+        .filter(forward -> forward.statement().id().equals(id))
+        .mapToLong(PeerMessage.Forward::correlation)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private void sendResult(long correlation) {
+    peer.send(new PeerMessage.Result(correlation, StatementOutcome.done(SessionState.IDLE)));
+  }
+
+  private void deliverSent() throws IOException {
+    // The answer to a ping arrives after what was sent before it.
+    PeerMessage.Pong last = link.lastPong();
+    link.requestStatus();
+    runUntil(() -> link.lastPong() != last);
+  }
+
+  @Test
+  void repeatedAndForeignResultsEndNothing() throws IOException {
+    OutboundForwards.Delivery delivery = new OutboundForwards.Delivery(2_000, true, false, 1);
+    deliver("s1", delivery);
+    deliver("s2", delivery);
+    runUntil(() -> forwardedIds().size() == 2);
+    sendResult(correlationOf("s2"));
+    sendResult(correlationOf("s2"));
+    sendResult(correlationOf("s2") + 1);
+    deliverSent();
+    assertThat(ends).containsExactly("answered");
+    sendResult(correlationOf("s1"));
+    deliverSent();
+    assertThat(ends).containsExactly("answered", "answered");
+  }
+
+  @Test
+  void resultForStatementOfFormerConnectionEndsNothing() throws IOException {
+    OutboundForwards.Delivery delivery = new OutboundForwards.Delivery(2_000, true, false, 1);
+    deliver("s1", delivery);
+    runUntil(() -> peer != null);
+    peer.close();
+    peer = null;
+    runUntil(() -> !ends.isEmpty());
+    time.advanceMs(400);
+    loop.runOnce(0);
+    link.heartbeat(true);
+    runUntil(link::isUp);
+    deliver("s2", delivery);
+    runUntil(() -> peer != null);
+    sendResult(correlationOf("s1"));
+    deliverSent();
+    assertThat(ends).containsExactly("lost");
+    sendResult(correlationOf("s2"));
+    deliverSent();
+    assertThat(ends).containsExactly("lost", "answered");
+  }
+
+  /** Guards against an old status that is taken for a new one. */
+  @Test
+  void repeatedPongIsNoNewStatus() throws IOException {
+    forward(true);
+    runUntil(() -> peer != null);
+    deliverSent();
+    PeerMessage.Pong last = link.lastPong();
+    time.advanceMs(300);
+    loop.runOnce(0);
+    peer.send(
+        new PeerMessage.Pong(
+            last.sequence(), 2, 0, StorePosition.NONE, true, List.of(), List.of(), 0));
+    long receivedBefore = received.size();
+    forward(true);
+    runUntil(() -> received.size() > receivedBefore);
+    sendResult(correlationOf("s1"));
+    runUntil(() -> !ends.isEmpty());
+    assertThat(link.lastPong().version()).isEqualTo(last.version());
+    assertThat(link.statusAgeMs()).isGreaterThanOrEqualTo(300);
+  }
 }
