Replace connections behind failures only where a repeat may stand for one

A target that is not known to repeat answers has to have sent the same failure with the same end; a write leaves a connection only while the log has not moved on since a failure on it. Parts of different answers count once the target is known to repeat.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
@@ -24,7 +24,9 @@
   private final Set<Long> results = new HashSet<>();
   private final Set<Long> ends = new HashSet<>();
   private final Set<Long> failures = new HashSet<>();
+  private final Set<Long> endedFailures = new HashSet<>();
   private Position highest;
+  private boolean failedAtHighest;
   private boolean unsignedSeen;
   private int answerCount;
 
@@ -54,8 +56,13 @@
     return unsignedSeen && hasEnd(end) && answerRows.stream().allMatch(this::hasRow);
   }
 
-  /** Returns whether earlier messages could make up such an answer. */
+  /** Returns whether there was such an answer. */
   boolean hasFailure(TargetMessage.Failure failure, TargetMessage.Ready end) {
+    return endedFailures.contains(mix(hash(failure), hash(end)));
+  }
+
+  /** Returns whether parts of earlier answers could make up such an answer. */
+  boolean hasPartsOfFailure(TargetMessage.Failure failure, TargetMessage.Ready end) {
     return failures.contains(hash(failure)) && hasEnd(end);
   }
 
@@ -63,6 +70,11 @@
     return !failures.isEmpty();
   }
 
+  /** Returns whether a command failed and the log has not moved on since. */
+  boolean hasFailedAtHighest() {
+    return failedAtHighest;
+  }
+
   /** Returns whether the log was longer than at {@code position} in an earlier answer. */
   boolean isPast(Position position) {
     return position != null && Positions.compare(position, highest) < 0;
@@ -94,8 +106,10 @@
 
   void addFailure(TargetMessage.Failure failure, List<String> answerRows, TargetMessage.Ready end) {
     failures.add(hash(failure));
+    endedFailures.add(mix(hash(failure), hash(end)));
     answerRows.forEach(row -> rows.add(TextHash.of(row)));
     addEnd(end);
+    failedAtHighest = true;
   }
 
   private void addEnd(TargetMessage.Ready end) {
@@ -103,6 +117,7 @@
     ends.add(hash(end));
     if (end.position() != null && Positions.compare(end.position(), highest) > 0) {
       highest = end.position();
+      failedAtHighest = false;
     }
   }
 
--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -109,7 +109,7 @@
 
   /** Returns whether a failure of the next statement might not be told from an earlier one. */
   public boolean mayMistakeFailure() {
-    return history.hasFailures();
+    return repeatsKnown.getAsBoolean() ? history.hasFailures() : history.hasFailedAtHighest();
   }
 
   /** Returns what the last verdict rests on. */
@@ -299,7 +299,10 @@
 
   private Verdict takeFailure(
       TargetMessage.Failure failure, TargetMessage.Ready ready, ExpectedAnswer expected) {
-    boolean equal = history.hasFailure(failure, ready);
+    boolean equal =
+        repeatsKnown.getAsBoolean()
+            ? history.hasPartsOfFailure(failure, ready)
+            : history.hasFailure(failure, ready);
     boolean fits =
         expected != null && mayFollowFailure(ready.state()) && mayFail(expected, failure.code());
     if (equal && (!fits || history.isPast(ready.position()))) {
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -152,6 +152,17 @@
         .isEqualTo(Verdict.UNPROVED);
   }
 
+  /** A write is not moved to another connection once the log has moved on. */
+  @Test
+  void failureOfAnEarlierPositionIsNotMistaken() {
+    answer(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 5));
+    answer(ExpectedAnswer.WRITE, signed("s1"), end(I, 6));
+    assertThat(matcher.mayMistakeFailure()).isFalse();
+    answer(ExpectedAnswer.WRITE, failure(FailureCode.BUSY), end(I, 6));
+    repeatsKnown = true;
+    assertThat(matcher.mayMistakeFailure()).isTrue();
+  }
+
   @Test
   void connectionIsLeftAfterReadWhoseFailureMayBeRepeated() {
     answer(ExpectedAnswer.READ, failure(FailureCode.LAGGING), end(I, 5));
