Keep a connection behind reads that a sound target refuses twice

A read that was refused with the same code at the same position as an earlier one gave its connection up, since its own answer might still come.

On a target that is not known to repeat answers, a RESET now goes over the connection before its next use: an answer that still comes precedes that of the RESET and closes the connection. Targets that are known to repeat get a new connection, as before, since the answer to the RESET might be a repeat too.

TargetConnectionTest.connectionIsKeptBehindEqualRefusalsOfReads fails without the change and passes with it.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -82,6 +82,11 @@
     return outOfStep;
   }
 
+  /** Records that a later command was answered, so that no earlier answer is still to come. */
+  public void resynchronized() {
+    outOfStep = false;
+  }
+
   /** Returns the number of answers received. */
   public int answerCount() {
     return history.answerCount();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -59,6 +59,8 @@
   // Connecting takes a few milliseconds, and longer only if the target is partitioned from
   // this instance or unreachable.
   private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
+  // Longer than most statements run, since one that counts as failed may still be running.
+  private static final long RESYNCHRONIZE_TIMEOUT_NANOS = 350_000_000L;
   // Bounds the memory for what was received: about 200 bytes for an answer.
   private static final int MAX_ANSWERS = 1_000;
 
@@ -118,10 +120,30 @@
 
   /**
    * Returns whether no further command may be sent: there were too many answers to remember them
-   * all, or an answer may still come that no command awaits.
+   * all, or an answer that no command awaits may come at any time.
    */
   boolean isUsedUp() {
-    return matcher.answerCount() >= MAX_ANSWERS || matcher.isOutOfStep();
+    return matcher.answerCount() >= MAX_ANSWERS || isOutOfStep() && target.repeatsAnswers();
+  }
+
+  /** Returns whether the own answer to a command that counts as failed may still come. */
+  boolean isOutOfStep() {
+    return matcher.isOutOfStep();
+  }
+
+  /**
+   * Sends a command of the instance's own and then returns the connection to its pool: an answer
+   * that still comes precedes that command's, and closes the connection.
+   */
+  void resynchronize() {
+    probe(
+        loop.nowNanos() + RESYNCHRONIZE_TIMEOUT_NANOS,
+        reply -> {
+          if (reply.ok()) {
+            matcher.resynchronized();
+          }
+          pool.release(this);
+        });
   }
 
   /** Returns whether the failure of a statement sent now might be that of an earlier one. */
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -235,6 +235,10 @@
       connection.close("not returned to the pool");
       return;
     }
+    if (connection.isOutOfStep()) {
+      connection.resynchronize();
+      return;
+    }
     makeAvailable(connection);
   }
 
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
@@ -332,4 +332,35 @@
     assertThat(requestCurrentReport()).doesNotContainNull();
     assertThat(connection.isOpen()).isTrue();
   }
+
+  /** Guards against a new connection for each read that a sound target refuses twice. */
+  @Test
+  void connectionIsKeptBehindEqualRefusalsOfReads() throws IOException {
+    final TargetConnection first = connection;
+    refused = TargetCommand.Execute.class::isInstance;
+    SessionData caller = session("s", false, "q1");
+    for (int i = 0; i < 3; i++) {
+      assertThat(read(caller).ok()).isFalse();
+      pool.release(connection);
+      runUntil(() -> pool.hasIdle("red"));
+      acquire();
+    }
+    assertThat(connection).isSameAs(first);
+    assertThat(sent(TargetCommand.Reset.class)).isEqualTo(2);
+    refused = command -> false;
+    assertThat(read(caller).ok()).isTrue();
+  }
+
+  private TargetReply read(SessionData session) throws IOException {
+    Statement statement =
+        new Statement("i1", StatementKind.EXECUTE, "EXECUTE s a1", "s", "a1", false);
+    long deadlineNanos = loop.nowNanos() + TIMEOUT_NANOS;
+    replies.clear();
+    connection.run(
+        session.prepareCommand(statement, ExpectedAnswer.READ, connection, null, deadlineNanos),
+        deadlineNanos,
+        replies::add);
+    runUntil(() -> !replies.isEmpty());
+    return replies.get(0);
+  }
 }
