Take no answer that broke off for a part of the one behind it

The orders of messages, all on one connection:

- READ: `DATAROW qhzk` CR, then the whole answer.
The row served was `qhzk` CR `DATAROW qhzk`.
- READ: `DATAROW qh`, `DATAROW q`, then the whole answer: only the last of the two beginnings was compared.
- READ: rows a, b; a; a, b, c with the signature: only halves of equal length were compared.
- WRITE with rows: a; a with the signature; or a row of an earlier answer before the write's own row.

From a target that is known to repeat answers, no row is taken in which another may begin, since the first part may be of an earlier answer.

What it costs: a result whose first row occurs in it again is not served (before: only if it followed at once or by halves).

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -171,19 +171,22 @@
     if (outcome != null) {
       return conclude(Verdict.UNPROVED, "a row after the outcome");
     }
-    if (mayBeTwoRows(row)) {
-      return conclude(Verdict.UNPROVED, "a row that may be two, of which one broke off");
+    if (mayBeSeveralRows(row)) {
+      return conclude(Verdict.UNPROVED, "a row that may be several, of which one broke off");
     }
     rows.add(row.text());
     repeatedRows += repeated ? 1 : 0;
     return Verdict.INCOMPLETE;
   }
 
-  /** An answer that breaks off inside a row is repeated from its first row. */
-  private boolean mayBeTwoRows(TargetMessage.Row row) {
-    String following = row.following();
-    return following != null
-        && (rows.isEmpty() ? following.startsWith(row.brokenOff()) : following.equals(rows.get(0)));
+  /**
+   * An answer that breaks off inside a row is repeated from its first row. From a target that
+   * repeats answers, the part before it may also be of an earlier answer.
+   */
+  private boolean mayBeSeveralRows(TargetMessage.Row row) {
+    return row.mayBeSeveral()
+        && (repeatsKnown.getAsBoolean()
+            || (rows.isEmpty() ? row.repeatsBrokenOff() : row.endsWithRow(rows.get(0))));
   }
 
   /** An answer that breaks off after its outcome is repeated from its start. */
@@ -221,18 +224,16 @@
           ? conclude(Verdict.REPEATED, "an earlier end, after a new signature")
           : conclude(Verdict.UNPROVED, "another state than the statement leads to");
     }
-    if (expected == ExpectedAnswer.READ) {
-      if (mayHoldRepeatedRows()) {
-        return conclude(Verdict.UNPROVED, "rows that may repeat earlier ones");
-      }
-      emptyReadSeen |= rows.isEmpty();
-    } else if (rows.isEmpty()) {
-      rowlessWriteSeen = true;
-    } else if (repeatedRows == rows.size()) {
-      if (!rowlessWriteSeen) {
-        return conclude(Verdict.UNPROVED, "rows that may repeat earlier ones");
-      }
+    boolean read = expected == ExpectedAnswer.READ;
+    if (!read && rowlessWriteSeen && repeatedRows == rows.size()) {
       rows.clear();
+    } else if (beginsAgain() || (read ? mayBeginWithEarlierRow() : repeatedRows > 0)) {
+      return conclude(Verdict.UNPROVED, "rows that may repeat earlier ones");
+    }
+    if (read) {
+      emptyReadSeen |= rows.isEmpty();
+    } else {
+      rowlessWriteSeen |= rows.isEmpty();
     }
     history.addSigned(signature, rows, ready);
     doubtfulCount = 0;
@@ -250,23 +251,19 @@
   }
 
   /**
-   * Returns whether the rows of a read may begin with a row of an earlier answer, or with those of
-   * a first part of this one that broke off. A single row that was sent before is the usual answer
-   * to a repeated read; it may stand before an empty result, if there are such.
+   * Returns whether the rows of a read may begin with a row of an earlier answer. A single row that
+   * was sent before is the usual answer to a repeated read; it may stand before an empty result, if
+   * there are such.
    */
-  private boolean mayHoldRepeatedRows() {
-    if (rows.size() == 1) {
-      return repeatedRows > 0 && emptyReadSeen && repeatsKnown.getAsBoolean();
-    }
-    if (repeatedRows > 0 && history.hasRow(rows.get(0)) && !history.hasResult(rows)) {
-      return true;
-    }
-    for (int length = 1; length * 2 <= rows.size(); length++) {
-      if (rows.subList(0, length).equals(rows.subList(length, 2 * length))) {
-        return true;
-      }
-    }
-    return false;
+  private boolean mayBeginWithEarlierRow() {
+    return rows.size() == 1
+        ? repeatedRows > 0 && emptyReadSeen && repeatsKnown.getAsBoolean()
+        : repeatedRows > 0 && history.hasRow(rows.get(0)) && !history.hasResult(rows);
+  }
+
+  /** An answer that breaks off behind a row, once or more, is repeated from its first row. */
+  private boolean beginsAgain() {
+    return rows.size() > 1 && rows.lastIndexOf(rows.get(0)) > 0;
   }
 
   private Verdict takeUnsigned(TargetMessage.Ready ready, ExpectedAnswer expected) {
--- a/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
@@ -9,18 +9,40 @@
  */
 public sealed interface TargetMessage {
   /**
-   * One row of a result, unchanged as the target sent it. Its text may also consist of a row that
+   * One row of a result, unchanged as the target sent it. Its text may also consist of rows that
    * broke off and one that follows without a line end.
    *
    * @param text the row
-   * @param brokenOff the row that may have broken off, or null
-   * @param following the row that may follow it, or null
+   * @param brokenOff the row that may have broken off first, or null
+   * @param separator what stands between two rows in such a text, or null
    */
-  record Row(String text, String brokenOff, String following) implements TargetMessage {
-    /** Creates a row that cannot consist of two. */
+  record Row(String text, String brokenOff, String separator) implements TargetMessage {
+    /** Creates a row that cannot consist of several. */
     public Row(String text) {
       this(text, null, null);
     }
+
+    /** Returns whether the text may consist of several rows. */
+    public boolean mayBeSeveral() {
+      return separator != null;
+    }
+
+    /** Returns whether a row that may begin in the text begins with the one that broke off. */
+    public boolean repeatsBrokenOff() {
+      int separatorAt = text.indexOf(separator);
+      while (separatorAt >= 0) {
+        if (text.startsWith(brokenOff, separatorAt + separator.length())) {
+          return true;
+        }
+        separatorAt = text.indexOf(separator, separatorAt + 1);
+      }
+      return false;
+    }
+
+    /** Returns whether the text may end with {@code row}. */
+    public boolean endsWithRow(String row) {
+      return text.endsWith(separator + row);
+    }
   }
 
   /**
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -119,7 +119,7 @@
 
   @Test
   void answerThatBrokeOffIsNotGluedToItsRepeat() {
-    TargetMessage glued = new TargetMessage.Row("abDATAROW abc", "ab", "abc");
+    TargetMessage glued = new TargetMessage.Row("abDATAROW abc", "ab", "DATAROW ");
     assertThat(take(ExpectedAnswer.READ, glued)).isEqualTo(Verdict.UNPROVED);
   }
 
@@ -265,4 +265,33 @@
     assertThat(take(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 6)))
         .isEqualTo(Verdict.UNPROVED);
   }
+
+  @Test
+  void rowsThatBeginAgainMoreThanOnceAreNotServed() {
+    assertThat(
+            take(
+                ExpectedAnswer.READ,
+                row("a"),
+                row("b"),
+                row("a"),
+                row("a"),
+                row("b"),
+                row("c"),
+                signed("s"),
+                end(I, 5)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void rowsOfWriteThatBeginAgainAreNotServed() {
+    assertThat(take(ExpectedAnswer.WRITE, row("a"), row("a"), signed("s"), end(I, 6)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
+
+  @Test
+  void rowThatIsSentAgainIsNoRowOfWriteWithRows() {
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 5));
+    assertThat(take(ExpectedAnswer.WRITE, row("a"), row("b"), signed("s2"), end(I, 6)))
+        .isEqualTo(Verdict.UNPROVED);
+  }
 }
