Take no repeated end without a position for that of a commit

Order of messages: an answer that ends with `READY I -`; others with positions; WRITE; `COMPLETE s`; `READY I -` again; the write's own `READY I 3.6`. The end of a commit has to be past the positions seen so far, but one without a position passed.

No position now counts as one before all others once a position was seen on the connection and such an end as well.

Evidence: AnswerMatcherTest.endWithoutPositionThatIsSentAgainIsNotTheEndOfCommit failed before and passes now.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
@@ -80,9 +80,12 @@
     return position != null && Positions.compare(position, highest) < 0;
   }
 
-  /** Returns whether the log had reached {@code position} in an earlier answer. */
+  /**
+   * Returns whether the log had reached {@code position} in an earlier answer. No position is
+   * before all others.
+   */
   boolean hasReached(Position position) {
-    return position != null && highest != null && Positions.reaches(highest, position);
+    return highest != null && Positions.compare(highest, position) >= 0;
   }
 
   void addOpening(TargetMessage.Ready end) {
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -294,4 +294,14 @@
     assertThat(take(ExpectedAnswer.WRITE, row("a"), row("b"), signed("s2"), end(I, 6)))
         .isEqualTo(Verdict.UNPROVED);
   }
+
+  /** Guards against a commit that its session's later reads do not wait for. */
+  @Test
+  void endWithoutPositionThatIsSentAgainIsNotTheEndOfCommit() {
+    answer(ExpectedAnswer.SETUP, unsigned(), new TargetMessage.Ready(I, null));
+    assertThat(take(ExpectedAnswer.WRITE, signed("s1"), new TargetMessage.Ready(I, null)))
+        .isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.WRITE, end(I, 6));
+    assertThat(matcher.end()).isEqualTo(end(I, 6));
+  }
 }
