Take a report whose row was sent before for a possible repeat

A report whose row was sent before may be a repeat, whatever its end is.

AnswerMatcherTest.rowOfReportThatIsSentAgainIsMarked failed before and passes now.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -290,7 +290,8 @@
       equalCount = 0;
       doubtfulCount = 0;
     }
-    mayBeRepeat = equal || expected == ExpectedAnswer.REPORT && doubtfulCount > 0;
+    boolean report = expected == ExpectedAnswer.REPORT;
+    mayBeRepeat = equal || report && (doubtfulCount > 0 || repeatedRows > 0);
     if (equal) {
       equalCount++;
       doubtfulCount += expected.mayBeRefused() ? 1 : 0;
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -304,4 +304,14 @@
     answer(ExpectedAnswer.WRITE, end(I, 6));
     assertThat(matcher.end()).isEqualTo(end(I, 6));
   }
+
+  /** Guards against an old report that counts as new because of the end of another answer. */
+  @Test
+  void rowOfReportThatIsSentAgainIsMarked() {
+    answer(ExpectedAnswer.REPORT, row("replica 3"), unsigned(), end(I, 5));
+    // Repeats stand for both; the setup's own answer ends the repeated row.
+    answer(ExpectedAnswer.SETUP, unsigned(), end(I, 5));
+    answer(ExpectedAnswer.REPORT, row("replica 3"), unsigned(), end(I, 6));
+    assertThat(matcher.mayBeRepeat()).isTrue();
+  }
 }
