Report the position of a confirmed begin from its confirmation

Order of messages on one connection: BEGIN, `READY T 3.5`; ROLLBACK; commits 3.6 to 3.9 elsewhere; BEGIN; the first begin's answer again; the second one's own, `READY T 3.9`; STATUS, which confirms it. The position of the repeat, 3.5, was delivered with the time of the second BEGIN and recorded as observed then.

A begin that was confirmed is delivered with the position of the report.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -378,7 +378,8 @@
 
   /**
    * Delivers a success that may be a repeat of an earlier begin's once a report has shown that the
-   * session is in a transaction: a statement that is sent without one would run outside it.
+   * session is in a transaction: a statement that is sent without one would run outside it. The
+   * position is that of the report: an earlier begin's lacks commits that were made since.
    */
   private void confirmBegin(PendingCommand begin, TargetReply success) {
     run(
@@ -386,7 +387,7 @@
         begin.deadlineNanos,
         report -> {
           if (report.ok() && !report.mayBeRepeat()) {
-            begin.onReply.accept(success);
+            begin.onReply.accept(success.at(report.position()));
           } else {
             close("begin not confirmed");
             begin.onReply.accept(lostReply("begin not confirmed", begin.sentNanos));
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetReply.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetReply.java
@@ -35,6 +35,11 @@
     return signature != null;
   }
 
+  /** Returns this reply with the position that a later one reported. */
+  TargetReply at(Position later) {
+    return new TargetReply(rows, signature, failure, text, state, later, mayBeRepeat, sentNanos);
+  }
+
   /** Returns whether no reply arrived, in which case the connection is closed. */
   boolean lost() {
     return signature == null && failure == null;
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
@@ -157,6 +157,22 @@
     return reports.get(0);
   }
 
+  /** Guards against reads of replicas that lack commits made since the earlier begin. */
+  @Test
+  void beginThatIsConfirmedHasThePositionOfItsReport() throws IOException {
+    target.recordRepeatedAnswer();
+    answer(OWN, end(T, 5));
+    answer(OWN, end(I, 5));
+    run(new TargetCommand.Begin(false, null));
+    run(new TargetCommand.Rollback());
+    // The first begin's answer again, before the second one's.
+    answer(OWN, end(T, 5));
+    answer(OWN, end(T, 9), row("9"), OWN, end(T, 9));
+    TargetReply reply = run(new TargetCommand.Begin(false, null));
+    assertThat(reply.ok()).isTrue();
+    assertThat(reply.position()).isEqualTo(new Position(3, 9));
+  }
+
   /** Guards against the promotion of a target whose log lacks commits that another one holds. */
   @Test
   void reportThatMayBeRepeatedIsNoneForSurvey() throws IOException {
