Ignore token answers to an earlier process in the older path

What is seen: an instance that starts again numbers its requests for tokens from 1, as its process before did. A peer answers over a link of its own, so that an answer to the process before counts as that to the request that now has the number: its tokens are taken to be valid for longer than the peer holds them.

Change: numbering begins at a random number.

--- a/core/src/main/java/io/hickorydrift/core/limit/SlotRateLimiter.java
+++ b/core/src/main/java/io/hickorydrift/core/limit/SlotRateLimiter.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Admits requests against the rates of all organisations at one instance. The instance may use the
@@ -48,7 +49,8 @@
   private final Map<Long, PendingTokenRequest> pendingRequests = new HashMap<>();
   private List<String> peers = List.of();
   private SlotShare share = SlotShare.NONE;
-  private long nextCorrelationId = 1;
+  // A peer may answer a request of the process before, over a link of its own.
+  private long nextCorrelationId = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2);
 
   /** Creates a limiter without organisations, peers or a share. */
   public SlotRateLimiter(LimitSettings settings) {
--- a/core/src/test/java/io/hickorydrift/core/limit/SlotRateLimiterTest.java
+++ b/core/src/test/java/io/hickorydrift/core/limit/SlotRateLimiterTest.java
@@ -106,4 +106,20 @@
     actions.addAll(limiter.acquire("unknown", TICKET, 0));
     assertThat(causeOfRefusal()).isEqualTo(Cause.NO_HOLDER_REACHED);
   }
+
+  /** A peer sends its answer over a link of its own, which outlives the process that asked. */
+  @Test
+  void answerToRequestOfThePreviousProcessIsIgnored() {
+    SlotRateLimiter previous = new SlotRateLimiter(SETTINGS);
+    previous.setLimits(Map.of(ORGANISATION, new RateLimit(1_000, 1_000)), 0);
+    previous.setPeers(List.of(PEER));
+    RateLimitAction.RequestTokens former =
+        (RateLimitAction.RequestTokens) previous.acquire(ORGANISATION, TICKET, 0).get(0);
+    actions.addAll(limiter.acquire(ORGANISATION, TICKET, 0));
+    GrantAnswer late = new GrantAnswer(former.request().correlationId(), ORGANISATION, 1, 1);
+    actions.addAll(limiter.onGrantAnswer(PEER, late, 5 * MS));
+    assertThat(decisions()).isEmpty();
+    answer(1, 10);
+    assertThat(decisions()).containsExactly(new RateLimitAction.Admit(TICKET));
+  }
 }
