Send the answer of a long iteration before a session is closed as idle

Cause: answers are sent at the start of the next iteration of the event loop. If an iteration takes over 60 ms after the answer was written, the timers at its end take the session for idle and close it, and the answer is lost. Change: a session with unsent bytes is not idle.

GatewayEndedSessionTest.answerOfLongIterationIsSentDuringStop: a commit runs and nothing is received without the change, its answer with it. GatewayEndedSessionTest (5) and GatewayRestartTest (3) pass.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/CallerSession.java
@@ -489,7 +489,10 @@
    * interrupts no work.
    */
   boolean idleSince(long nanos) {
-    return !hasUnansweredRequests() && state == SessionState.IDLE && answeredNanos - nanos < 0;
+    return !hasUnansweredRequests()
+        && channel.unsentBytes() == 0
+        && state == SessionState.IDLE
+        && answeredNanos - nanos < 0;
   }
 
   /**
