Refuse statements and results too long for a frame between instances

A statement of almost 1 MiB, with session values or a prepared statement of that size, made a frame of over 2 MiB. A result of many rows could do the same on its way back, and several long messages at once exceeded what a channel holds.

A statement that does not fit is now refused with TOOBIG, and nothing is sent. In place of a result that does not fit, the home sends TOOBIG for a read, rolling back its transaction, and INDOUBT for a write or commit that was applied. While 1 MiB waits on a link, long statements are refused with BUSY. An execution travels without its text, of which the home only uses the argument, so that it is not sent twice.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardCodec.java
@@ -38,7 +38,9 @@
     packer.packInt(route.priority()).packLong(route.stalenessBoundMs());
     Statement statement = forward.statement();
     packer.packString(statement.id()).packInt(statement.kind().ordinal());
-    packer.packString(statement.text()).packString(statement.name());
+    // An execution is sent to targets by its argument.
+    packer.packString(statement.kind() == StatementKind.EXECUTE ? "" : statement.text());
+    packer.packString(statement.name());
     packer.packString(statement.argument());
     packer.packBoolean(forward.preparedStatement() != null);
     if (forward.preparedStatement() != null) {
@@ -60,6 +62,32 @@
     }
   }
 
+  /** Returns the length of the texts that make a forwarded statement long. */
+  static long textLength(PeerMessage.Forward forward) {
+    Statement statement = forward.statement();
+    long length =
+        (long) statement.id().length()
+            + statement.text().length()
+            + statement.name().length()
+            + statement.argument().length();
+    if (forward.preparedStatement() != null) {
+      length += forward.preparedStatement().shape().length();
+    }
+    for (Map.Entry<String, String> value : forward.values().entrySet()) {
+      length += value.getKey().length() + value.getValue().length();
+    }
+    return length;
+  }
+
+  /** Returns the length of the texts that make a result long. */
+  static long textLength(StatementOutcome outcome) {
+    long length = outcome.reason().length();
+    for (String row : outcome.rows()) {
+      length += row.length();
+    }
+    return length;
+  }
+
   static PeerMessage.Forward unpackForward(MessageUnpacker unpacker) throws IOException {
     final long correlation = unpacker.unpackLong();
     final long transaction = unpacker.unpackLong();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ForwardedStatementService.java
@@ -15,6 +15,8 @@
  * of a transaction begins one at a target. Thread safety: confined to the loop's thread.
  */
 final class ForwardedStatementService {
+  private static final String RESULT_TOO_LARGE = "result is too large to be sent by the home";
+
   private final GatewayContext context;
   private final RunningForwards running;
   private final Map<InboundPeerLink, Map<Long, LocalTransaction>> transactions = new HashMap<>();
@@ -32,7 +34,7 @@
     Consumer<StatementOutcome> onOutcome =
         outcome -> {
           running.remove(statement);
-          link.send(new PeerMessage.Result(forward.correlation(), outcome));
+          link.send(new PeerMessage.Result(forward.correlation(), limited(link, forward, outcome)));
         };
     SessionData session = SessionData.of(forward);
     LocalTransaction open = findTransaction(link, forward.transaction().number());
@@ -165,13 +167,45 @@
         forward.allowed(),
         receivedNanos,
         outcome -> {
-          if (outcome.state() != SessionState.IN_TRANSACTION) {
+          StatementOutcome limited = limited(link, forward, outcome);
+          if (limited.state() != SessionState.IN_TRANSACTION) {
             endTransaction(link, forward.transaction().number());
           }
-          onOutcome.accept(outcome);
+          onOutcome.accept(limited);
         });
   }
 
+  private static StatementOutcome limited(
+      InboundPeerLink link, PeerMessage.Forward forward, StatementOutcome outcome) {
+    long textLength = ForwardCodec.textLength(outcome);
+    boolean fits =
+        PeerMessageCodec.fits(new PeerMessage.Result(forward.correlation(), outcome), textLength);
+    return fits && link.hasRoomFor(textLength) ? outcome : inPlaceOf(outcome, forward, fits);
+  }
+
+  /**
+   * Returns a failure in place of an outcome that cannot be sent now or, unless it {@code fits}
+   * into a message, at all. A read has no effect, and a transaction is rolled back with it.
+   */
+  static StatementOutcome inPlaceOf(
+      StatementOutcome outcome, PeerMessage.Forward forward, boolean fits) {
+    SessionState after = stateAfterRefusal(forward);
+    if (outcome.failure() != null) {
+      return StatementOutcome.failed(outcome.failure(), "failed at the target", after);
+    }
+    if (after == SessionState.IDLE && mayHaveWritten(forward)) {
+      return StatementOutcome.failed(FailureCode.IN_DOUBT, RESULT_TOO_LARGE, after);
+    }
+    return fits
+        ? StatementOutcome.failed(FailureCode.BUSY, "link is busy; retry in 100 ms", after)
+        : StatementOutcome.failed(FailureCode.TOO_LARGE, RESULT_TOO_LARGE, after);
+  }
+
+  private static boolean mayHaveWritten(PeerMessage.Forward forward) {
+    return forward.statement().kind() == StatementKind.COMMIT
+        || SessionData.of(forward).writes(forward.statement());
+  }
+
   /** Cancels a statement if none of it was sent to a target. */
   void cancel(InboundPeerLink link, long correlation) {
     running.cancel(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/InboundPeerLink.java
@@ -60,6 +60,11 @@
     return peer;
   }
 
+  /** Returns whether a message with texts of that length can wait to be sent. */
+  boolean hasRoomFor(long textLength) {
+    return PeerTraffic.hasRoomFor(textLength, channel.unsentBytes());
+  }
+
   void send(PeerMessage message) {
     if (channel.isClosed()) {
       return;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundForwards.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundForwards.java
@@ -18,8 +18,13 @@
  * not sent or refused only if none of it was sent. Thread safety: confined to the loop's thread.
  */
 final class OutboundForwards {
+  static final String TOO_LARGE_REASON =
+      "statement with its session values and prepared statement is too large for its home";
+
   // The home responds within the statement's timeout; the delays of the link are added to it.
   private static final long FORWARD_MARGIN_MS = 300;
+  // The time in which a link between regions carries the messages that wait.
+  private static final long BACKLOG_RETRY_MS = 100;
 
   /** Receives the end of a forwarded statement. */
   interface Listener {
@@ -34,6 +39,9 @@
 
     /** Nothing was sent, since too many statements are outstanding at the peer. */
     void refused(long retryAfterMs);
+
+    /** Nothing was sent, since the statement is too long for a message between instances. */
+    void tooLarge();
   }
 
   /**
@@ -90,6 +98,9 @@
     /** Sends a message if the link is open, and returns whether it was sent. */
     boolean send(PeerMessage message);
 
+    /** Returns whether a message with texts of that length can wait to be sent. */
+    boolean hasRoomFor(long textLength);
+
     /** Returns whether data was received so recently that a statement may be sent at once. */
     boolean hasRecentlyReceived();
 
@@ -118,8 +129,15 @@
     peerKnowsCancel = knows;
   }
 
-  /** Adds a statement and sends it as soon as it may be sent. */
+  /**
+   * Adds a statement and sends it as soon as it may be sent. Returns null if it is too long to be
+   * sent.
+   */
   Forwarded add(PeerMessage.Forward message, Delivery delivery, Listener listener) {
+    if (!PeerMessageCodec.fits(message, ForwardCodec.textLength(message))) {
+      listener.tooLarge();
+      return null;
+    }
     Forwarded added = new Forwarded(message, delivery, listener);
     if (delivery.byLocality && !window.tryTake()) {
       long waitMs = Math.min(LinkWindow.MAX_WAIT_MS, delivery.timeoutMs);
@@ -153,6 +171,11 @@
   }
 
   private void send(Forwarded next) {
+    if (!link.hasRoomFor(ForwardCodec.textLength(next.message))) {
+      finish(next);
+      next.listener.refused(BACKLOG_RETRY_MS);
+      return;
+    }
     long correlation = ++lastCorrelation;
     PeerMessage.Forward forward = next.message;
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNanos() - next.sinceNanos);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/OutboundPeerLink.java
@@ -236,6 +236,11 @@
     traffic.recordHeldForPing();
   }
 
+  @Override
+  public boolean hasRoomFor(long textLength) {
+    return PeerTraffic.hasRoomFor(textLength, channel.unsentBytes());
+  }
+
   @Override
   public boolean send(PeerMessage message) {
     if (!open || channel.isClosed()) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerMessageCodec.java
@@ -28,6 +28,9 @@
   static final int MAX_MESSAGE_BYTES = Integer.BYTES + MAX_FRAME_BYTES;
 
   static final int MAX_ITEMS = 100_000;
+  private static final int MAX_ENCODED_BYTES_PER_CHAR = 3;
+  // Numbers, names, and the headers of the values of a session.
+  private static final int MAX_BYTES_BESIDE_TEXTS = 64 * 1024;
   private static final int PING = 1;
   private static final int PONG = 2;
   private static final int TOKEN_REQUEST = 3;
@@ -46,13 +49,26 @@
 
   /** Appends the frame of {@code message} and returns its length in bytes. */
   static int write(OutBuffer out, PeerMessage message) {
+    byte[] bytes = encode(message);
+    int length = bytes.length;
+    out.octet(length >>> 24).octet(length >>> 16).octet(length >>> 8).octet(length);
+    out.octets(bytes);
+    return Integer.BYTES + length;
+  }
+
+  /**
+   * Returns whether receivers accept the frame of a message with texts of {@code textLength}
+   * characters in total; a longer frame makes them close the link.
+   */
+  static boolean fits(PeerMessage message, long textLength) {
+    return textLength < MAX_FRAME_BYTES / MAX_ENCODED_BYTES_PER_CHAR - MAX_BYTES_BESIDE_TEXTS
+        || encode(message).length <= MAX_FRAME_BYTES;
+  }
+
+  private static byte[] encode(PeerMessage message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       pack(packer, message);
-      byte[] bytes = packer.toByteArray();
-      int length = bytes.length;
-      out.octet(length >>> 24).octet(length >>> 16).octet(length >>> 8).octet(length);
-      out.octets(bytes);
-      return Integer.BYTES + length;
+      return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("encoding into memory failed", e);
     }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerTraffic.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PeerTraffic.java
@@ -11,6 +11,10 @@
  * <p>Thread safety: confined to the loop's thread.
  */
 final class PeerTraffic {
+  private static final int MAX_SHORT_TEXT_LENGTH = 16 * 1024;
+  // A channel holds 4 MiB; a long message may take 2 MiB of them.
+  private static final int MAX_UNSENT_BEFORE_LONG_BYTES = 1024 * 1024;
+
   private final Metrics metrics;
   private final FleetMembership fleet;
   private final String ownDomain;
@@ -28,6 +32,15 @@
     metrics.recordHeldForPing();
   }
 
+  /**
+   * Returns whether a message with texts of that length may be added to {@code unsentBytes}. Long
+   * messages are turned away early, since a link whose peer does not take its bytes is closed, with
+   * the statements of others.
+   */
+  static boolean hasRoomFor(long textLength, int unsentBytes) {
+    return textLength <= MAX_SHORT_TEXT_LENGTH || unsentBytes <= MAX_UNSENT_BEFORE_LONG_BYTES;
+  }
+
   void write(OutBuffer out, String peer, PeerMessage message) {
     int bytes = PeerMessageCodec.write(out, message);
     metrics.recordPeerBytes(message.getClass().getSimpleName(), !fleet.isInOwnDomain(peer), bytes);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/RemoteTransaction.java
@@ -126,6 +126,14 @@
             onRefused.run();
             end(tooManyOutstanding(after, retryAfterMs), onOutcome);
           }
+
+          @Override
+          public void tooLarge() {
+            end(
+                StatementOutcome.failed(
+                    FailureCode.TOO_LARGE, OutboundForwards.TOO_LARGE_REASON, after),
+                onOutcome);
+          }
         };
     OutboundForwards.Forwarded added =
         link.forward(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/SingleStatement.java
@@ -166,6 +166,11 @@
               retryAfterMs);
       fail(FailureCode.BUSY, TOO_MANY_OUTSTANDING + retryAfterMs + " ms");
     }
+
+    @Override
+    public void tooLarge() {
+      fail(FailureCode.TOO_LARGE, OutboundForwards.TOO_LARGE_REASON);
+    }
   }
 
   /** Retries a read once at the next home. A write is in doubt: it may have taken effect. */
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/ForwardedStatementServiceTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/ForwardedStatementServiceTest.java
@@ -22,7 +22,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against a home that begins a transaction with a statement that is not its first one. */
@@ -132,6 +134,9 @@
 
           @Override
           public void refused(long retryAfterMs) {}
+
+          @Override
+          public void tooLarge() {}
         });
     for (int i = 0; i < MAX_ITERATIONS && outcomes.isEmpty(); i++) {
       loop.runOnce(0);
@@ -148,4 +153,51 @@
     }
     assertThat(link.isUp()).isTrue();
   }
+
+  private static PeerMessage.Forward forwardOf(StatementKind kind, long transaction) {
+    return new PeerMessage.Forward(
+        1,
+        new PeerMessage.TransactionRef(transaction, true),
+        false,
+        "red",
+        new Route("", "g", Consistency.PRIMARY, 800, 250, 1, 0, true, Set.of()),
+        new Statement("q1", kind, "", "", "", false),
+        null,
+        Map.of(),
+        null,
+        true,
+        0,
+        AllowedRegions.ALL);
+  }
+
+  /** Guards against a promise for a write that was applied and whose result cannot be sent. */
+  @ParameterizedTest
+  @CsvSource({
+    "READ, 0, false, TOO_LARGE, IDLE",
+    "READ, 0, true, BUSY, IDLE",
+    "READ, 4, false, TOO_LARGE, FAILED",
+    "WRITE, 4, true, BUSY, FAILED",
+    "WRITE, 0, false, IN_DOUBT, IDLE",
+    "WRITE, 0, true, IN_DOUBT, IDLE",
+    "COMMIT, 4, false, IN_DOUBT, IDLE"
+  })
+  void callerHearsTheTruthIfTheResultCannotBeSent(
+      StatementKind kind, long transaction, boolean fits, FailureCode code, SessionState state) {
+    StatementOutcome success =
+        new StatementOutcome(List.of("row"), "sig", null, "", SessionState.IDLE, null);
+    StatementOutcome sent =
+        ForwardedStatementService.inPlaceOf(success, forwardOf(kind, transaction), fits);
+    assertThat(sent.failure()).isEqualTo(code);
+    assertThat(sent.state()).isEqualTo(state);
+  }
+
+  @Test
+  void failureWithLongReasonKeepsItsCode() {
+    StatementOutcome failure =
+        StatementOutcome.failed(FailureCode.TIMEOUT, "x".repeat(100), SessionState.IDLE);
+    StatementOutcome sent =
+        ForwardedStatementService.inPlaceOf(failure, forwardOf(StatementKind.WRITE, 0), false);
+    assertThat(sent.failure()).isEqualTo(FailureCode.TIMEOUT);
+    assertThat(sent.reason()).hasSizeLessThan(100);
+  }
 }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/OutboundPeerLinkTest.java
@@ -138,6 +138,11 @@
           public void refused(long retryAfterMs) {
             ends.add("refused");
           }
+
+          @Override
+          public void tooLarge() {
+            ends.add("too large");
+          }
         });
   }
 
