--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -171,8 +171,8 @@
     if (outcome != null) {
       return conclude(Verdict.UNPROVED, "a row after the outcome");
     }
-    if (mayBeSeveralRows(row)) {
-      return conclude(Verdict.UNPROVED, "a row that may be several, of which one broke off");
+    if (mayHaveBrokenOff(row)) {
+      return conclude(Verdict.UNPROVED, "a row in which another message may begin");
     }
     rows.add(row.text());
     repeatedRows += repeated ? 1 : 0;
@@ -183,8 +183,8 @@
    * An answer that breaks off inside a row is repeated from its first row. From a target that
    * repeats answers, the part before it may also be of an earlier answer.
    */
-  private boolean mayBeSeveralRows(TargetMessage.Row row) {
-    return row.mayBeSeveral()
+  private boolean mayHaveBrokenOff(TargetMessage.Row row) {
+    return row.mayHoldMessage()
         && (repeatsKnown.getAsBoolean()
             || (rows.isEmpty() ? row.repeatsBrokenOff() : row.endsWithRow(rows.get(0))));
   }
@@ -198,7 +198,7 @@
 
   private Verdict takeEnd(TargetMessage.Ready ready, ExpectedAnswer expected) {
     if (outcome == null) {
-      return history.hasEnd(ready)
+      return rows.isEmpty() && history.hasEnd(ready)
           ? conclude(Verdict.REPEATED, "an earlier end, without an outcome")
           : conclude(Verdict.UNPROVED, "an end without an outcome");
     }
--- a/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetMessage.java
@@ -10,20 +10,20 @@
 public sealed interface TargetMessage {
   /**
    * One row of a result, unchanged as the target sent it. Its text may also consist of rows that
-   * broke off and one that follows without a line end.
+   * broke off and a message that follows without a line end.
    *
    * @param text the row
    * @param brokenOff the row that may have broken off first, or null
    * @param separator what stands between two rows in such a text, or null
    */
   record Row(String text, String brokenOff, String separator) implements TargetMessage {
-    /** Creates a row that cannot consist of several. */
+    /** Creates a row in which no other message can begin. */
     public Row(String text) {
       this(text, null, null);
     }
 
-    /** Returns whether the text may consist of several rows. */
-    public boolean mayBeSeveral() {
+    /** Returns whether another message may begin in the text. */
+    public boolean mayHoldMessage() {
       return separator != null;
     }
 
