Take the refusal of a commit that ends its transaction for what it is

A commit that the target refused, having rolled the transaction back, was in doubt for its caller instead of aborted: after a failure inside a transaction, the state was expected to be in a transaction still, or failed.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -307,7 +307,9 @@
             ? history.hasPartsOfFailure(failure, ready)
             : history.hasFailure(failure, ready);
     boolean fits =
-        expected != null && mayFollowFailure(ready.state()) && mayFail(expected, failure.code());
+        expected != null
+            && mayFollowFailure(expected, ready.state())
+            && mayFail(expected, failure.code());
     if (equal && (!fits || history.isPast(ready.position()))) {
       return dropAnswer("an earlier failure");
     }
@@ -356,8 +358,10 @@
         && (expected == ExpectedAnswer.READ || expected == ExpectedAnswer.BEGIN);
   }
 
-  private boolean mayFollowFailure(SessionState after) {
-    return (after == SessionState.IDLE) == (state == SessionState.IDLE);
+  /** A transaction stays open or fails; a commit that is refused may also end it. */
+  private boolean mayFollowFailure(ExpectedAnswer expected, SessionState after) {
+    return after == expected.stateAfter(state)
+        || (after == SessionState.IDLE) == (state == SessionState.IDLE);
   }
 
   private Verdict accept(TargetMessage.Ready ready) {
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -196,6 +196,14 @@
         .isEqualTo(Verdict.REPEATED);
   }
 
+  /** Guards against a commit in doubt although its target has said that it rolled back. */
+  @Test
+  void refusedCommitMayEndItsTransaction() {
+    answer(ExpectedAnswer.BEGIN, unsigned(), end(T, 5));
+    answer(ExpectedAnswer.COMMIT_OF_WRITES, failure(FailureCode.READ_ONLY), end(I, 5));
+    assertThat(matcher.mayBeRepeat()).isFalse();
+  }
+
   @Test
   void refusalOfTargetThatIsNotThePrimaryMayRecur() {
     for (int i = 0; i < 3; i++) {
