Drop a repeated failure that comes while no command awaits an answer

Order of messages on one connection: READ, `ERROR BUSY`, `READY I 3.5`; READ with its answer, `READY I 3.6`; then, with no command under way, `ERROR BUSY` again; WRITE is sent; `READY I 3.6` again; the write's own answer. The error was kept as the outcome of the next answer, the end of another answer completed it, and no earlier failure had had that end.

A failure that was sent before and comes while no command awaits an answer is a repeat. It is dropped at once, which also makes the target known to repeat answers.

Evidence: AnswerMatcherTest.failureThatIsSentAgainBeforeTheNextCommandIsNotItsOwn failed before (INCOMPLETE) and passes now, as do BrokenOffAnswerTest, AnswerRepeatPropertyTest, RepeatedLinesPropertyTest, TargetConnectionTest, RepeatedReportTest and DecoderFuzzTest.

What remains: the same two parts, both after the write was sent, as the first repeats of their target at this instance.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
@@ -63,7 +63,11 @@
 
   /** Returns whether parts of earlier answers could make up such an answer. */
   boolean hasPartsOfFailure(TargetMessage.Failure failure, TargetMessage.Ready end) {
-    return failures.contains(hash(failure)) && hasEnd(end);
+    return hasFailure(failure) && hasEnd(end);
+  }
+
+  boolean hasFailure(TargetMessage.Failure failure) {
+    return failures.contains(hash(failure));
   }
 
   boolean hasFailures() {
--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -144,6 +144,12 @@
     if (outcome != null) {
       return takeSecondOutcome(message);
     }
+    if (expected == null
+        && message instanceof TargetMessage.Failure failure
+        && history.hasFailure(failure)) {
+      // Kept, it would end with the next command's end, or with a repeated one.
+      return conclude(Verdict.REPEATED, "an earlier failure, where none is due");
+    }
     outcome = message;
     return Verdict.INCOMPLETE;
   }
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -322,4 +322,14 @@
     answer(ExpectedAnswer.REPORT, row("replica 3"), unsigned(), end(I, 6));
     assertThat(matcher.mayBeRepeat()).isTrue();
   }
+
+  /** Guards against a promise that nothing ran, made up of parts of two earlier answers. */
+  @Test
+  void failureThatIsSentAgainBeforeTheNextCommandIsNotItsOwn() {
+    answer(ExpectedAnswer.READ, failure(FailureCode.BUSY), end(I, 5));
+    answer(ExpectedAnswer.READ, row("a"), signed("s1"), end(I, 6));
+    assertThat(take(null, failure(FailureCode.BUSY))).isEqualTo(Verdict.REPEATED);
+    assertThat(take(ExpectedAnswer.WRITE, end(I, 6))).isEqualTo(Verdict.REPEATED);
+    answer(ExpectedAnswer.WRITE, signed("s2"), end(I, 7));
+  }
 }
