--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerHistory.java
@@ -56,6 +56,10 @@
     return unsignedSeen && hasEnd(end) && answerRows.stream().allMatch(this::hasRow);
   }
 
+  boolean hasFailure(TargetMessage.Failure failure) {
+    return failures.contains(hash(failure));
+  }
+
   /** Returns whether there was such an answer. */
   boolean hasFailure(TargetMessage.Failure failure, TargetMessage.Ready end) {
     return endedFailures.contains(mix(hash(failure), hash(end)));
@@ -66,10 +70,6 @@
     return hasFailure(failure) && hasEnd(end);
   }
 
-  boolean hasFailure(TargetMessage.Failure failure) {
-    return failures.contains(hash(failure));
-  }
-
   boolean hasFailures() {
     return !failures.isEmpty();
   }
