Confirm a begin that was answered at a lower position than it asked for

Order of messages on one connection: BEGIN READ, `READY T 3.5`; ROLLBACK, `READY I 3.5`; BEGIN READ at 3.9 or later; the first begin's answer again; the second one's own, `ERROR LAGGING`, while the statement is already on its way.

A log that has not reached the position refuses such a begin, so an equal success at a lower position is confirmed at any target. A target that repeats nothing is not asked more often, unless the position that it states lags behind the one that it accepts.

What remains: a plain begin that a former primary refuses with READONLY, behind the first repeat of that target.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.answer.AnswerMatcher;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.position.Positions;
 import io.hickorydrift.core.statement.ExpectedAnswer;
 import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.PreparedNames;
@@ -350,9 +351,7 @@
     target.recordApplied(matcher.end().position());
     recordAnswer(current);
     TargetReply reply = reply(current);
-    boolean mayHaveBegun =
-        reply.ok() && reply.mayBeRepeat() && current.command instanceof TargetCommand.Begin;
-    if (mayHaveBegun && target.repeatsAnswers()) {
+    if (reply.ok() && reply.mayBeRepeat() && needsConfirmation(current.command, reply)) {
       confirmBegin(current, reply);
     } else {
       current.onReply.accept(reply);
@@ -362,6 +361,16 @@
     }
   }
 
+  /**
+   * Returns whether {@code command} is a begin that may not have succeeded: targets that are not
+   * known to repeat answers begin no transaction at a position that they have not reached.
+   */
+  private boolean needsConfirmation(TargetCommand command, TargetReply success) {
+    return command instanceof TargetCommand.Begin begin
+        && (target.repeatsAnswers()
+            || begin.atLeast() != null && !Positions.reaches(success.position(), begin.atLeast()));
+  }
+
   private TargetReply reply(PendingCommand current) {
     boolean ok = matcher.outcome() instanceof TargetMessage.Complete;
     TargetMessage.Failure failure = ok ? null : (TargetMessage.Failure) matcher.outcome();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
@@ -6,6 +6,7 @@
 import io.hickorydrift.core.directory.TargetEntry;
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.SessionState;
 import io.hickorydrift.core.statement.TargetCommand;
 import io.hickorydrift.core.statement.TargetMessage;
@@ -192,4 +193,18 @@
     assertThat(requestNewReport().received()).isEqualTo(new Position(3, 5));
     assertThat(connection.isOpen()).isTrue();
   }
+
+  /** Guards against a statement that runs outside its transaction behind a refused begin. */
+  @Test
+  void beginThatIsRefusedBehindTheFirstRepeatOfTargetIsNotDone() throws IOException {
+    answer(OWN, end(T, 5));
+    answer(OWN, end(I, 5));
+    run(new TargetCommand.Begin(true, null));
+    run(new TargetCommand.Rollback());
+    TargetMessage refusal = new TargetMessage.Failure(FailureCode.LAGGING, "t0");
+    answer(OWN, end(T, 5), refusal, end(I, 5));
+    // What confirms the begin, which the target answers later.
+    answer();
+    assertThat(run(new TargetCommand.Begin(true, new Position(3, 9))).ok()).isFalse();
+  }
 }
