--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -45,9 +45,9 @@
   private SessionState state = SessionState.IDLE;
   // Answers to the proxy's own commands that may have been repeats: the commands' own answers may
   // still come.
-  private int equalCount;
+  private int unsettledCount;
   // Those of commands that may be refused.
-  private int doubtfulCount;
+  private int unsettledRefusableCount;
   private boolean mayBeRepeat;
   private boolean outOfStep;
   private boolean emptyReadSeen;
@@ -242,8 +242,8 @@
       rowlessWriteSeen |= rows.isEmpty();
     }
     history.addSigned(signature, rows, ready);
-    doubtfulCount = 0;
-    equalCount = 0;
+    unsettledRefusableCount = 0;
+    unsettledCount = 0;
     return accept(ready);
   }
 
@@ -272,6 +272,10 @@
     return rows.size() > 1 && rows.lastIndexOf(rows.get(0)) > 0;
   }
 
+  /**
+   * What does not fit the oldest command is dropped if it equals an earlier answer, or settles a
+   * command for which a repeat was taken. What fits is accepted, and noted if it may be a repeat.
+   */
   private Verdict takeUnsigned(TargetMessage.Ready ready, ExpectedAnswer expected) {
     boolean equal = history.hasUnsigned(rows, ready);
     boolean fits =
@@ -283,24 +287,24 @@
       if (equal) {
         return dropAnswer("an earlier answer to an own command");
       }
-      if (equalCount == 0) {
+      if (unsettledCount == 0) {
         return conclude(Verdict.UNPROVED, "an answer to an own command, where none is due");
       }
       // The command's own answer, after a repeat of an equal one was taken for it.
-      equalCount--;
+      unsettledCount--;
       history.addUnsigned(rows, ready);
       return dropAnswer("a further answer to an own command");
     }
     if (!equal && expected == ExpectedAnswer.REPORT && state == SessionState.IN_TRANSACTION) {
       // Reports in transactions confirm a begin. What was sent before this one is answered.
-      equalCount = 0;
-      doubtfulCount = 0;
+      unsettledCount = 0;
+      unsettledRefusableCount = 0;
     }
     boolean report = expected == ExpectedAnswer.REPORT;
-    mayBeRepeat = equal || report && (doubtfulCount > 0 || repeatedRows > 0);
+    mayBeRepeat = equal || report && (unsettledRefusableCount > 0 || repeatedRows > 0);
     if (equal) {
-      equalCount++;
-      doubtfulCount += expected.mayBeRefused() ? 1 : 0;
+      unsettledCount++;
+      unsettledRefusableCount += expected.mayBeRefused() ? 1 : 0;
     }
     history.addUnsigned(rows, ready);
     return accept(ready);
@@ -324,14 +328,14 @@
     }
     boolean surprising = equal && !isUsual(expected, failure.code());
     if (surprising && expected == ExpectedAnswer.REPORT) {
-      equalCount++;
-      doubtfulCount++;
+      unsettledCount++;
+      unsettledRefusableCount++;
     } else if (surprising && !isHarmless(expected)) {
       return conclude(Verdict.UNPROVED, "a failure that equals an earlier one");
     } else if (surprising) {
       outOfStep = true;
     }
-    if (doubtfulCount > 0 && repeatsKnown.getAsBoolean()) {
+    if (unsettledRefusableCount > 0 && repeatsKnown.getAsBoolean()) {
       return conclude(Verdict.UNPROVED, "a failure that an earlier command may have had");
     }
     mayBeRepeat = surprising;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -32,6 +32,14 @@
  * confined to the loop's thread.
  */
 final class TargetConnection implements ChannelHandler {
+  // Connecting takes a few milliseconds, and longer only if the target is partitioned from
+  // this instance or unreachable.
+  private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
+  // Longer than most statements run, since one that counts as failed may still be running.
+  private static final long RESYNCHRONIZE_TIMEOUT_NANOS = 350_000_000L;
+  // Bounds the memory for what was received: about 200 bytes for an answer.
+  private static final int MAX_ANSWERS = 1_000;
+
   /** A command that awaits its answer. */
   private static final class PendingCommand {
     private final TargetCommand command;
@@ -57,14 +65,6 @@
   private final TcpChannel channel;
   private final int number;
   private final AnswerMatcher matcher = new AnswerMatcher(() -> target().repeatsAnswers());
-  // Connecting takes a few milliseconds, and longer only if the target is partitioned from
-  // this instance or unreachable.
-  private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
-  // Longer than most statements run, since one that counts as failed may still be running.
-  private static final long RESYNCHRONIZE_TIMEOUT_NANOS = 350_000_000L;
-  // Bounds the memory for what was received: about 200 bytes for an answer.
-  private static final int MAX_ANSWERS = 1_000;
-
   private final long openDeadlineNanos;
   private final long connectDeadlineNanos;
   private boolean connected;
