--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -142,7 +142,7 @@
       return conclude(Verdict.UNPROVED, unreadable.reason());
     }
     if (outcome != null) {
-      return takeSecondOutcome(message);
+      return conclude(Verdict.UNPROVED, "two outcomes in one answer");
     }
     if (expected == null
         && message instanceof TargetMessage.Failure failure
@@ -195,13 +195,6 @@
             || (rows.isEmpty() ? row.repeatsBrokenOff() : row.endsWithRow(rows.get(0))));
   }
 
-  /** An answer that breaks off after its outcome is repeated from its start. */
-  private Verdict takeSecondOutcome(TargetMessage message) {
-    return message.equals(outcome) && rows.isEmpty()
-        ? conclude(Verdict.REPEATED, "the same outcome twice")
-        : conclude(Verdict.UNPROVED, "two outcomes in one answer");
-  }
-
   private Verdict takeEnd(TargetMessage.Ready ready, ExpectedAnswer expected) {
     if (outcome == null) {
       return rows.isEmpty() && history.hasEnd(ready)
