--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -83,7 +83,7 @@
   }
 
   /** Records that a later command was answered, so that no earlier answer is still to come. */
-  public void resynchronized() {
+  public void backInStep() {
     outOfStep = false;
   }
 
--- a/core/src/main/java/io/hickorydrift/core/statement/PreparedStatement.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/PreparedStatement.java
@@ -1,6 +1,6 @@
 package io.hickorydrift.core.statement;
 
-import java.nio.charset.StandardCharsets;
+import java.io.UnsupportedEncodingException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
@@ -50,11 +50,10 @@
 
   private static String digest(String shape) {
     try {
-      byte[] digest =
-          MessageDigest.getInstance("SHA-256").digest(shape.getBytes(StandardCharsets.UTF_8));
+      byte[] digest = MessageDigest.getInstance("SHA-256").digest(shape.getBytes("UTF-8"));
       return ENCODER.encodeToString(Arrays.copyOf(digest, DIGEST_BYTES));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is part of each Java platform", e);
+    } catch (NoSuchAlgorithmException | UnsupportedEncodingException e) {
+      throw new IllegalStateException("SHA-256 and UTF-8 are part of each Java platform", e);
     }
   }
 
--- a/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
+++ b/core/src/test/java/io/hickorydrift/core/answer/AnswerMatcherTest.java
@@ -119,7 +119,7 @@
 
   @Test
   void answerThatBrokeOffIsNotGluedToItsRepeat() {
-    TargetMessage glued = new TargetMessage.Row("abDATAROW abc", "ab", "DATAROW ");
+    TargetMessage glued = new TargetMessage.Row("abROW abc", "ab", "ROW ");
     assertThat(take(ExpectedAnswer.READ, glued)).isEqualTo(Verdict.UNPROVED);
   }
 
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -141,7 +141,7 @@
         loop.nowNanos() + RESYNCHRONIZE_TIMEOUT_NANOS,
         reply -> {
           if (reply.ok()) {
-            matcher.resynchronized();
+            matcher.backInStep();
           }
           pool.release(this);
         });
