Pause other replicas while a promotion that was requested may be carried out

Cause: the survey proves that the replica to promote has every commit up to its report. Until it leads, a second later, the former primary went on, and its commits were acknowledged once any replica had them.

Change: before a request, n - k of the other replicas are paused (ReplicaHold), so that each commit that the primary acknowledges is in the candidate's log, through whichever instance it was sent; the candidate's log is compared after that. They stay paused if the attempt ends before the outcome of its request is known; the next commit makes such requests void.

Why it works: targets refuse to acknowledge, so that it binds instances that do not know of the attempt. Ruled out: step down of the primary (no commits for the whole promotion), confirmations by the candidate only (does not bind others); docs/design/durable-promotion.md.

--- a/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/DurableChoice.java
@@ -6,8 +6,10 @@
 import io.hickorydrift.core.position.Positions;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -38,6 +40,7 @@
 
   private final GroupState group;
   private final Map<TargetState, Report> reports = new HashMap<>();
+  private final Set<TargetState> paused = new HashSet<>();
   private final TargetState primary;
   private int syncReplicas;
   private Position primaryPosition;
@@ -76,6 +79,15 @@
     }
   }
 
+  /** Records whether {@code target} is paused, so that a promotion of another one was intended. */
+  public void setPaused(TargetState target, boolean isPaused) {
+    if (isPaused) {
+      paused.add(target);
+    } else {
+      paused.remove(target);
+    }
+  }
+
   /** Returns the target to promote, or null if an acknowledged commit could be lost by that. */
   public TargetState choose(long nowNanos) {
     Map<TargetState, Position> received = received(nowNanos);
@@ -83,10 +95,32 @@
       TargetState staying = PromotionCandidates.mostAdvanced(received, nowNanos);
       boolean caughtUp =
           staying != null && Positions.reaches(received.get(staying), primaryPosition);
-      return caughtUp ? staying : null;
+      return caughtUp ? preferReceiving(staying, received) : null;
     }
     boolean enough = received.size() >= neededReports(nowNanos);
-    return enough ? PromotionCandidates.mostAdvancedOfAll(received, nowNanos) : null;
+    return enough
+        ? preferReceiving(PromotionCandidates.mostAdvancedOfAll(received, nowNanos), received)
+        : null;
+  }
+
+  /**
+   * Returns a target as fit as {@code best} that is not paused, if there is one: a request for the
+   * other one may still be carried out.
+   */
+  private TargetState preferReceiving(TargetState best, Map<TargetState, Position> received) {
+    if (!paused.contains(best)) {
+      return best;
+    }
+    for (Map.Entry<TargetState, Position> each : received.entrySet()) {
+      boolean fit =
+          !paused.contains(each.getKey())
+              && Positions.reaches(each.getValue(), received.get(best))
+              && each.getKey().isLeaving() == best.isLeaving();
+      if (fit) {
+        return each.getKey();
+      }
+    }
+    return best;
   }
 
   /** Returns whether {@code target} has reported a log that reaches that of {@code other}. */
@@ -117,9 +151,23 @@
 
   /** Returns the number of replicas of which reports are needed. */
   public int neededReports(long nowNanos) {
+    return Math.max(1, replicas().size() + departed(nowNanos).size() - syncReplicas + 1);
+  }
+
+  /**
+   * Returns the number of replicas beside the target to promote that have to be paused, so that
+   * each further commit is in its log before it is acknowledged ({@link ReplicaHold}).
+   */
+  public int neededPauses(long nowNanos) {
+    return primaryReports(nowNanos)
+        ? Math.max(0, replicas().size() - syncReplicas)
+        : neededReports(nowNanos) - 1;
+  }
+
+  private List<TargetState> replicas() {
     List<TargetState> replicas = new ArrayList<>(group.targets());
     replicas.remove(primary);
-    return Math.max(1, replicas.size() + departed(nowNanos).size() - syncReplicas + 1);
+    return replicas;
   }
 
   /** Returns the ids of departed targets that may hold commits which no reported log has. */
--- a/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
+++ b/core/src/main/java/io/hickorydrift/core/statement/TargetCommand.java
@@ -114,4 +114,25 @@
       return ExpectedAnswer.REPORT;
     }
   }
+
+  /**
+   * Stops a replica from receiving commits until a {@link Resume}, a promotion or its restart. The
+   * answer is a {@link TargetReport}.
+   *
+   * @param term a term above the newest one of the group
+   */
+  record Pause(long term) implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.REPORT;
+    }
+  }
+
+  /** Lets a replica receive commits again. The answer is a {@link TargetReport}. */
+  record Resume() implements TargetCommand {
+    @Override
+    public ExpectedAnswer expectedAnswer() {
+      return ExpectedAnswer.REPORT;
+    }
+  }
 }
--- a/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
@@ -210,6 +210,22 @@
   }
 
   /** Random logs; a commit is acknowledged if enough replicas have it. */
+  /** Guards against requests for two targets that may both be carried out. */
+  @Test
+  void targetThatIsNotPausedIsChosenAmongEquals() {
+    final TargetState primary = primary(0);
+    final List<TargetState> replicas = List.of(replica(1), replica(2));
+    for (TargetState paused : replicas) {
+      DurableChoice choice = choice(primary);
+      choice.report(replicas.get(0), at(9), 0, nowNanos);
+      choice.report(replicas.get(1), at(9), 0, nowNanos);
+      choice.setPaused(paused, true);
+      assertThat(choice.choose(nowNanos)).isNotSameAs(paused);
+      choice.report(paused, at(10), 0, nowNanos);
+      assertThat(choice.choose(nowNanos)).isSameAs(paused);
+    }
+  }
+
   @Property(tries = 1_000, seed = "39")
   void chosenTargetHasAllAcknowledgedCommits(
       @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 20) Integer> logs,
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/DurableSurvey.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/DurableSurvey.java
@@ -2,6 +2,8 @@
 
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.promotion.DurableChoice;
+import io.hickorydrift.core.statement.TargetCommand;
+import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.Collection;
 import java.util.HashMap;
@@ -23,6 +25,12 @@
   // The position of a replica that catches up changes with each query.
   private static final long REPEAT_NANOS = 80_000_000L;
 
+  /** Receives the reports. */
+  interface Listener {
+    /** Receives a report that was requested at {@code sentNanos}; the choice knows its position. */
+    void reported(TargetState target, TargetReport report, long sentNanos);
+  }
+
   /** The queries to one target. */
   private static final class Queries {
     private int outstanding;
@@ -32,16 +40,15 @@
   private final EventLoop loop;
   private final PositionQueries queries;
   private final DurableChoice choice;
-  private final Runnable onReport;
+  private final Listener listener;
   private final Map<TargetState, Queries> queriesByTarget = new HashMap<>();
   private boolean ended;
 
-  /** Creates a survey; {@code onReport} is called after each report. */
-  DurableSurvey(EventLoop loop, PositionQueries queries, DurableChoice choice, Runnable onReport) {
+  DurableSurvey(EventLoop loop, PositionQueries queries, DurableChoice choice, Listener listener) {
     this.loop = loop;
     this.queries = queries;
     this.choice = choice;
-    this.onReport = onReport;
+    this.listener = listener;
   }
 
   DurableChoice choice() {
@@ -81,14 +88,15 @@
     long sentNanos = loop.nowNanos();
     sent.outstanding++;
     sent.lastNanos = sentNanos;
-    queries.query(
+    queries.request(
         target,
+        new TargetCommand.Report(),
         QUERY_TIMEOUT_MS,
-        position -> {
+        report -> {
           sent.outstanding--;
-          if (position != null && !ended) {
-            choice.report(target, position, sentNanos, loop.nowNanos());
-            onReport.run();
+          if (report != null && report.received() != null && !ended) {
+            choice.report(target, report.received(), sentNanos, loop.nowNanos());
+            listener.reported(target, report, sentNanos);
           }
         });
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -2,12 +2,15 @@
 
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
+import io.hickorydrift.core.statement.TargetCommand;
+import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Queries the positions that targets have received, on any connection that is idle.
+ * Requests reports of targets, such as the position that they have received, on any connection that
+ * is idle.
  *
  * <p>Invariant: each query is answered once, by its deadline. Thread safety: confined to the loop's
  * thread.
@@ -28,20 +31,30 @@
    * not report one within {@code timeoutMs}.
    */
   void query(TargetState target, long timeoutMs, Consumer<Position> onPosition) {
+    request(
+        target,
+        new TargetCommand.Report(),
+        timeoutMs,
+        report -> onPosition.accept(report == null ? null : report.received()));
+  }
+
+  /**
+   * Sends a command that is answered with a report; {@code onReport} gets null if there is none
+   * within {@code timeoutMs}.
+   */
+  void request(
+      TargetState target, TargetCommand command, long timeoutMs, Consumer<TargetReport> onReport) {
     long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     AcquireListener listener =
         new AcquireListener() {
           @Override
           public void acquired(TargetConnection connection) {
-            pools.requestCurrentReport(
-                connection,
-                deadlineNanos,
-                report -> onPosition.accept(report == null ? null : report.received()));
+            pools.requestCurrentReport(connection, command, deadlineNanos, onReport);
           }
 
           @Override
           public void refused(String reason) {
-            onPosition.accept(null);
+            onReport.accept(null);
           }
         };
     pools.poolForSurvey(target).acquireAny(declarations.anyOrganisation(), deadlineNanos, listener);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -9,6 +9,9 @@
 import io.hickorydrift.core.promotion.PositionSurvey;
 import io.hickorydrift.core.promotion.PrimaryVerdict;
 import io.hickorydrift.core.promotion.PromotionCandidates;
+import io.hickorydrift.core.promotion.ReplicaHold;
+import io.hickorydrift.core.statement.TargetCommand;
+import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import io.hickorydrift.proxy.port.PromotionClient;
 import java.util.ArrayList;
@@ -25,12 +28,15 @@
  * <p>Where commits are acknowledged only once replicas have received them, the replicas are
  * surveyed until {@link DurableChoice} shows that no such commit is lost, for up to {@link
  * #MAX_DURABLE_WAIT_MS}, and further until the request is carried out: it is repeated only while no
- * other log is ahead of the candidate's. A target that is leaving may be promoted then; the attempt
- * goes on to replace it in its turn, under the same lease.
+ * other log is ahead of the candidate's. Before the request, as many of the other replicas are
+ * paused as {@link ReplicaHold} demands, so that the primary and other instances can acknowledge
+ * nothing that the candidate lacks. A target that is leaving may be promoted then; the attempt goes
+ * on to replace it in its turn, under the same lease.
  *
  * <p>Invariant: promotion requests carry the fence of this lease; after a refusal no further
  * request is sent under it. A request without a response may still be carried out, so it is retried
- * only for the same target. One survey of the replicas is under way at a time. Thread safety:
+ * only for the same target, and the replicas stay paused if the attempt ends before its outcome is
+ * known ({@link #leavesRequest}). One survey of the replicas is under way at a time. Thread safety:
  * confined to the loop's thread.
  */
 final class PromotionAttempt {
@@ -39,6 +45,9 @@
   private static final long POLL_INTERVAL_MS = 40;
   private static final long REQUEST_RETRY_MS = 1_500;
   private static final long ATTEMPT_TIMEOUT_MS = 8_000;
+  // A leaving primary that is reachable reports by then; a replica that stays has to reach its log.
+  private static final long PRIMARY_REPORT_MS = 500;
+  private static final long HOLD_TIMEOUT_MS = 2_500;
   // By then a replica that another instance reaches should be surveyed by that one.
   private static final long SURVEY_TURN_MS = 2_500;
 
@@ -63,9 +72,19 @@
   private long chosenNanos;
   private Position chosenPosition;
   private boolean chosenIsLeaving;
+  private HeldReplicas held;
+  private long newestTerm;
   private boolean requested;
+  private boolean chosenRequested;
+  private int requestsInFlight;
+  // Whether a request may be carried out that was accepted or not answered.
+  private boolean outcomeUnknown;
+  // Whether replicas were paused before this attempt paused any.
+  private boolean foundPaused;
+  private boolean hasPaused;
   private boolean leaseHeldByAnother;
   private boolean surveyIncomplete;
+  private boolean succeeded;
   private boolean ended;
 
   PromotionAttempt(PromotionServices services, PromotionNeed need) {
@@ -117,6 +136,19 @@
     return surveyIncomplete;
   }
 
+  /**
+   * Returns whether a request of this attempt, or of an earlier one, may still be carried out after
+   * the end of the attempt.
+   */
+  boolean leavesRequest() {
+    return requestsInFlight > 0 || outcomeUnknown || foundPaused;
+  }
+
+  /** Returns whether the attempt has replaced the primary, so that older requests are refused. */
+  boolean succeeded() {
+    return succeeded;
+  }
+
   void start() {
     lease.acquire();
   }
@@ -179,6 +211,7 @@
       return;
     }
     choose(candidate, received.get(candidate));
+    requestPromotion();
   }
 
   private void choose(TargetState candidate, Position position) {
@@ -186,12 +219,11 @@
     chosenNanos = loop.nowNanos();
     chosenPosition = position;
     chosenIsLeaving = candidate.isLeaving();
-    requestPromotion();
   }
 
   private void beginDurableSurvey() {
     DurableChoice choice = new DurableChoice(group, need.syncReplicas().getAsInt(), oldPrimary);
-    durableSurvey = new DurableSurvey(loop, queries, choice, this::chooseDurable);
+    durableSurvey = new DurableSurvey(loop, queries, choice, this::onReport);
     logSurvey("begun");
     pollDurableSurvey(durableSurvey);
   }
@@ -209,9 +241,21 @@
     }
     survey.queryDue(targets);
     chooseDurable();
+    holdReplicas();
     loop.after(POLL_INTERVAL_MS, () -> pollDurableSurvey(survey));
   }
 
+  private void onReport(TargetState target, TargetReport report, long sentNanos) {
+    newestTerm = Math.max(newestTerm, report.term());
+    foundPaused |= report.isPaused() && !hasPaused;
+    durableSurvey.choice().setPaused(target, report.isPaused());
+    if (held != null) {
+      held.hold().report(target, report, sentNanos, loop.nowNanos());
+    }
+    chooseDurable();
+    holdReplicas();
+  }
+
   private void chooseDurable() {
     if (chosen != null) {
       return;
@@ -227,17 +271,88 @@
             "event=promotion_may_lose_commits group={} waited_ms={}",
             group.name(),
             elapsedMs(need.sinceNanos()));
+        choose(candidate, durableSurvey.choice().receivedBy(candidate, loop.nowNanos()));
+        requestPromotion();
+        return;
       }
       choose(candidate, durableSurvey.choice().receivedBy(candidate, loop.nowNanos()));
+      hasPaused = true;
+      ReplicaHold hold = new ReplicaHold(candidate, newestTerm);
+      held = new HeldReplicas(loop, queries, group.name(), hold, this::queryCandidate);
     } else if (!requested && elapsedMs(startedNanos) > SURVEY_TURN_MS) {
       endIncomplete();
     }
   }
 
+  /** Queries the candidate at once: the others are paused, so that its log is compared now. */
+  private void queryCandidate() {
+    HeldReplicas current = held;
+    long sentNanos = loop.nowNanos();
+    queries.request(
+        chosen,
+        new TargetCommand.Report(),
+        HOLD_TIMEOUT_MS,
+        report -> {
+          if (report != null && current == held) {
+            onReport(chosen, report, sentNanos);
+          }
+        });
+  }
+
+  /** Keeps replicas paused, and requests the promotion once the candidate has all commits. */
+  private void holdReplicas() {
+    if (ended || held == null) {
+      return;
+    }
+    List<TargetState> others = new ArrayList<>(group.targets());
+    others.remove(oldPrimary);
+    others.remove(chosen);
+    int needed = durableSurvey.choice().neededPauses(loop.nowNanos());
+    held.pauseDue(others, needed);
+    if (chosenRequested || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn()) {
+      return;
+    }
+    if (endIfReachable()) {
+      return;
+    }
+    if (held.hold().isComplete(others, needed)) {
+      requestPromotion();
+    } else if (elapsedMs(chosenNanos) > HOLD_TIMEOUT_MS) {
+      logSurvey("hold incomplete");
+      releaseHold();
+      chosen = null;
+    }
+  }
+
+  /** Lets the replicas receive again, unless a request may still be carried out. */
+  private void releaseHold() {
+    if (held == null) {
+      return;
+    }
+    if (leavesRequest()) {
+      held.end();
+    } else {
+      held.resumeAll();
+    }
+    held = null;
+  }
+
+  /** Records that the chosen target is the primary: requests under older fences are refused. */
+  private void recordSuccess() {
+    outcomeUnknown = false;
+    requestsInFlight = 0;
+    foundPaused = false;
+  }
+
   /** Returns the target to promote by the reports there are, or null. */
   private TargetState durableCandidate() {
     DurableChoice choice = durableSurvey.choice();
     long nowNanos = loop.nowNanos();
+    boolean primaryMayReport =
+        verdict == PrimaryVerdict.LEAVING && elapsedMs(startedNanos) < PRIMARY_REPORT_MS;
+    if (primaryMayReport && !choice.primaryReports(nowNanos)) {
+      return null;
+    }
     TargetState candidate = choice.choose(nowNanos);
     return candidate == null && isDurableWaitOver(choice)
         ? choice.mostAdvanced(nowNanos)
@@ -291,6 +406,9 @@
     verdict = PrimaryVerdict.LEAVING;
     startedNanos = loop.nowNanos();
     chosen = null;
+    chosenRequested = false;
+    recordSuccess();
+    releaseHold();
     durableSurvey.end();
     beginDurableSurvey();
   }
@@ -325,15 +443,30 @@
         verdict,
         elapsedMs(startedNanos));
     requested = true;
+    chosenRequested = true;
+    requestsInFlight++;
+    TargetState target = chosen;
     promotionClient.requestPromotion(
-        group.name(), chosen.entry().id(), self, lease.fence(), this::onPromotionResult);
+        group.name(),
+        target.entry().id(),
+        self,
+        lease.fence(),
+        result -> onPromotionResult(target, result));
   }
 
-  private void onPromotionResult(PromotionClient.Result result) {
-    Logger.info("event=promotion_answered group={} result={}", group.name(), result);
-    if (ended) {
+  private void onPromotionResult(TargetState target, PromotionClient.Result result) {
+    Logger.info(
+        "event=promotion_answered group={} target={} fence={} result={}",
+        group.name(),
+        target.entry().id(),
+        lease.fence(),
+        result);
+    if (ended || target != chosen) {
       return;
     }
+    requestsInFlight--;
+    outcomeUnknown |=
+        result == PromotionClient.Result.ACCEPTED || result == PromotionClient.Result.UNKNOWN;
     if (result == PromotionClient.Result.REFUSED) {
       // The platform does not tell a low fence from a target that is not running.
       Logger.warn(
@@ -393,6 +526,10 @@
     }
     boolean changed = asChosen || !current.entry().draining();
     if (changed) {
+      if (current == chosen) {
+        recordSuccess();
+        succeeded = true;
+      }
       end("done: " + current.entry().id());
     }
     return changed;
@@ -432,11 +569,13 @@
     }
     ended = true;
     Logger.info(
-        "event=promotion_ended group={} reason=\"{}\" fence={} after_ms={}",
+        "event=promotion_ended group={} reason=\"{}\" fence={} leaves_request={} after_ms={}",
         group.name(),
         reason,
         lease.fence(),
+        leavesRequest(),
         elapsedMs(startedNanos));
+    releaseHold();
     lease.release();
   }
 }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetConnection.java
@@ -184,7 +184,8 @@
     PendingCommand pending = new PendingCommand(command, loop.nowNanos(), deadlineNanos, onReply);
     pendingCommands.addLast(pending);
     // A report takes no slot of the target.
-    if (!waits && (command instanceof TargetCommand.Report || pool.dispatch().maySend(this))) {
+    boolean report = command.expectedAnswer() == ExpectedAnswer.REPORT;
+    if (!waits && (report || pool.dispatch().maySend(this))) {
       send(pending);
     }
   }
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -115,14 +115,18 @@
   }
 
   /**
-   * Requests a report as {@link #requestReport} does, for a decision that rests on the time of the
-   * request: a report that may be one from before, sent again, counts as none, and its connection
-   * is closed, since the next report on it might be no different.
+   * Sends {@code command}, which is answered with a report, and releases the connection as {@link
+   * #requestReport} does, for a decision that rests on the time of the request: a report that may
+   * be one from before, sent again, counts as none, and its connection is closed, since the next
+   * report on it might be no different.
    */
   void requestCurrentReport(
-      TargetConnection connection, long deadlineNanos, Consumer<TargetReport> onReport) {
+      TargetConnection connection,
+      TargetCommand command,
+      long deadlineNanos,
+      Consumer<TargetReport> onReport) {
     connection.run(
-        new TargetCommand.Report(),
+        command,
         deadlineNanos,
         reply -> {
           boolean outdated = reply.mayBeRepeat() && connection.target().repeatsAnswers();
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/RepeatedReportTest.java
@@ -72,7 +72,7 @@
 
     @Override
     public TargetReport decodeReport(String row) {
-      return new TargetReport(false, 3, new Position(3, Long.parseLong(row)), 0, 0, 1);
+      return new TargetReport(false, 3, new Position(3, Long.parseLong(row)), 0, 0, 0, 1);
     }
   }
 
@@ -153,7 +153,8 @@
   private TargetReport requestNewReport() throws IOException {
     List<TargetReport> reports = new ArrayList<>();
     new TargetPools(loop, codec, null, null)
-        .requestCurrentReport(connection, loop.nowNanos() + TIMEOUT_NANOS, reports::add);
+        .requestCurrentReport(
+            connection, new TargetCommand.Report(), loop.nowNanos() + TIMEOUT_NANOS, reports::add);
     runUntil(() -> !reports.isEmpty());
     return reports.get(0);
   }
--- a/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
+++ b/proxy/src/test/java/io/hickorydrift/proxy/gateway/TargetConnectionTest.java
@@ -108,7 +108,7 @@
 
     @Override
     public TargetReport decodeReport(String row) {
-      return new TargetReport(false, 3, new Position(3, Long.parseLong(row)), 0, 0, 1);
+      return new TargetReport(false, 3, new Position(3, Long.parseLong(row)), 0, 0, 0, 1);
     }
   }
 
@@ -307,7 +307,8 @@
   private List<TargetReport> requestCurrentReport() throws IOException {
     List<TargetReport> reports = new ArrayList<>();
     new TargetPools(loop, new CommandCodec(), null, null)
-        .requestCurrentReport(connection, loop.nowNanos() + TIMEOUT_NANOS, reports::add);
+        .requestCurrentReport(
+            connection, new TargetCommand.Report(), loop.nowNanos() + TIMEOUT_NANOS, reports::add);
     runUntil(() -> !reports.isEmpty());
     return reports;
   }
