Revoke promotion requests whose outcome is not known

Cause: an attempt that ended was taken for the end of its request. A request without an answer may be carried out seconds later; the next attempt's higher fence was to refuse it, but none follows while the primary works, and nobody remembers the request of a dead holder.

Change: the replicas paused for a request stay so and are its memory. The instance that sent it, or any that finds a replica paused for 3 s (PausedReplicaWatch), requests the promotion of the present primary under a newer fence, which changes nothing and has older requests refused (PromotionRevocation), and 2.5 s after the answer lets the replicas receive. promotion_ended tells whether a request is left behind.

Why it works: until the revocation is answered, every acknowledged commit is in the log of the one that may lead; after it, the old request is refused.

What remains: docs/design/durable-promotion.md, among it a revocation that is carried out after the request that it revokes.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/Gateway.java
@@ -248,6 +248,7 @@
     pools.onTargetRemoved(target);
     prober.onTargetRemoved(target);
     outcomes.onTargetRemoved(target);
+    promotions.onTargetRemoved(target);
   }
 
   private void registerGauges() {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionController.java
@@ -11,8 +11,10 @@
 import io.hickorydrift.core.promotion.SyncReplicaDemand;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.tinylog.Logger;
 
 /**
@@ -51,6 +53,14 @@
   private final Map<String, Long> leaseRetryNanos = new HashMap<>();
   private final Map<String, PromotionAttempt> attempts = new HashMap<>();
   private final Map<String, SyncReplicaDemand> demands = new HashMap<>();
+  private final PositionQueries queries;
+  private final PausedReplicaWatch watch;
+  private final Map<String, PromotionRevocation> revocations = new HashMap<>();
+  private final Map<String, Long> revocationRetryNanos = new HashMap<>();
+  // Groups of which a promotion request may still be carried out.
+  private final Set<String> openRequests = new HashSet<>();
+  // Groups whose replicas may have been paused since this instance started.
+  private final Set<String> watched = new HashSet<>();
 
   PromotionController(
       PromotionServices services,
@@ -65,21 +75,44 @@
     this.peers = peers;
     this.homes = homes;
     self = services.self();
+    queries = new PositionQueries(services.loop(), services.pools(), declarations);
+    watch = new PausedReplicaWatch(queries);
     services.loop().clock().onClockPause(this::endAllAttempts);
   }
 
   /** Ends all attempts after the store was restored: their leases and keys may be another's. */
   void onNewEra() {
     attempts.values().forEach(PromotionAttempt::endInNewEra);
-    attempts.clear();
+    revocations.values().forEach(PromotionRevocation::endInNewEra);
+    forgetAttempts();
   }
 
   private void endAllAttempts() {
     attempts.values().forEach(attempt -> attempt.end("clock pause"));
-    attempts.clear();
+    revocations.values().forEach(revocation -> revocation.end("clock pause"));
+    forgetAttempts();
     neededSinceNanos.clear();
   }
 
+  private void forgetAttempts() {
+    attempts.forEach(this::recordEnd);
+    attempts.clear();
+    revocations.clear();
+  }
+
+  private void recordEnd(String group, PromotionAttempt attempt) {
+    if (attempt.leavesRequest()) {
+      openRequests.add(group);
+    } else if (attempt.succeeded()) {
+      openRequests.remove(group);
+    }
+  }
+
+  /** Forgets what is known of a target that was removed or has restarted. */
+  void onTargetRemoved(TargetState target) {
+    watch.onTargetRemoved(target);
+  }
+
   void tick(long nowNanos, boolean storeSettled) {
     for (GroupState group : directory.groups()) {
       DeclaredGroup declared = declarations.current().groups().get(group.name());
@@ -93,6 +126,7 @@
       PromotionAttempt attempt = attempts.get(group.name());
       if (attempt != null && attempt.ended()) {
         attempts.remove(group.name());
+        recordEnd(group.name(), attempt);
         if (attempt.leaseHeldByAnother()) {
           leaseRetryNanos.put(group.name(), nowNanos + LEASE_RETRY_DELAY_NANOS);
         } else if (attempt.surveyIncomplete()) {
@@ -105,12 +139,64 @@
       }
       if (verdict == PrimaryVerdict.KEEP) {
         neededSinceNanos.remove(group.name());
-      } else if (attempt == null) {
+      }
+      boolean revoking = attempt == null && revokeRequests(group, nowNanos);
+      if (verdict != PrimaryVerdict.KEEP && attempt == null && !revoking) {
         handlePromotionNeed(group, verdict, nowNanos);
       }
     }
   }
 
+  /**
+   * Revokes requests that may still be carried out, before anything else is done about the primary.
+   * Returns whether that is under way.
+   */
+  private boolean revokeRequests(GroupState group, long nowNanos) {
+    String name = group.name();
+    if (demand(name).lowest() > 0) {
+      watched.add(name);
+    }
+    if (!watched.contains(name)) {
+      return false;
+    }
+    TargetState primary = group.primary();
+    boolean reachable = primary != null && prober.unreachableMs(primary) == 0;
+    PromotionRevocation revocation = revocations.get(name);
+    if (revocation != null && !reachable) {
+      revocation.end("primary is not reachable");
+    }
+    if (revocation != null && !revocation.ended()) {
+      return true;
+    }
+    if (revocation != null) {
+      revocations.remove(name);
+      recordRevocation(group, revocation, nowNanos);
+      return false;
+    }
+    watch.poll(group, nowNanos);
+    boolean mayBeOpen = openRequests.contains(name) || watch.staysPaused(group, nowNanos);
+    if (!reachable || !mayBeOpen || isBefore(revocationRetryNanos.get(name), nowNanos)) {
+      return false;
+    }
+    PromotionRevocation next = new PromotionRevocation(services, queries, group);
+    revocations.put(name, next);
+    next.start();
+    return true;
+  }
+
+  private void recordRevocation(GroupState group, PromotionRevocation ended, long nowNanos) {
+    if (ended.succeeded()) {
+      openRequests.remove(group.name());
+      watch.reset(group);
+    } else {
+      revocationRetryNanos.put(group.name(), nowNanos + LEASE_RETRY_DELAY_NANOS);
+    }
+  }
+
+  private static boolean isBefore(Long retryNanos, long nowNanos) {
+    return retryNanos != null && nowNanos - retryNanos < 0;
+  }
+
   private PrimaryVerdict evaluatePrimary(GroupState group) {
     List<String> observers = homes.observers(group.name());
     Map<String, PrimaryReport> reportsByPeer = peers.primaryReports(group.name());
@@ -126,9 +212,8 @@
     if (verdict == PrimaryVerdict.ABSENT) {
       delayNanos += ABSENCE_DELAY_NANOS;
     }
-    Long retryNanos = leaseRetryNanos.get(group.name());
-    boolean retryDelayed = retryNanos != null && nowNanos - retryNanos < 0;
-    if (retryDelayed || nowNanos - sinceNanos < delayNanos) {
+    if (isBefore(leaseRetryNanos.get(group.name()), nowNanos)
+        || nowNanos - sinceNanos < delayNanos) {
       return;
     }
     Logger.info(
