Revoke an unanswered promotion request as soon as the primary is back

Cause: an attempt whose request got no answer ended 1.2 s after it, when the call had timed out, and the revocation settled for 2.5 s. Change: the attempt ends as soon as the primary is reachable again, unless the request was accepted; a revocation settles for 2 s.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -77,6 +77,7 @@
   private boolean requested;
   private boolean chosenRequested;
   private int requestsInFlight;
+  private boolean accepted;
   // Whether a request may be carried out that was accepted or not answered.
   private boolean outcomeUnknown;
   // Whether replicas were paused before this attempt paused any.
@@ -309,10 +310,14 @@
     others.remove(chosen);
     int needed = durableSurvey.choice().neededPauses(loop.nowNanos());
     held.pauseDue(others, needed);
-    if (chosenRequested || endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn()) {
+    if (chosenRequested) {
+      // The sooner a request without an answer is revoked, the sooner the replicas receive again.
+      if (!accepted) {
+        endIfReachable();
+      }
       return;
     }
-    if (endIfReachable()) {
+    if (endIfPrimaryChanged() || endIfTimedOut() || endIfWithdrawn() || endIfReachable()) {
       return;
     }
     if (held.hold().isComplete(others, needed)) {
@@ -339,6 +344,7 @@
 
   /** Records that the chosen target is the primary: requests under older fences are refused. */
   private void recordSuccess() {
+    accepted = false;
     outcomeUnknown = false;
     requestsInFlight = 0;
     foundPaused = false;
@@ -465,8 +471,8 @@
       return;
     }
     requestsInFlight--;
-    outcomeUnknown |=
-        result == PromotionClient.Result.ACCEPTED || result == PromotionClient.Result.UNKNOWN;
+    accepted |= result == PromotionClient.Result.ACCEPTED;
+    outcomeUnknown |= accepted || result == PromotionClient.Result.UNKNOWN;
     if (result == PromotionClient.Result.REFUSED) {
       // The platform does not tell a low fence from a target that is not running.
       Logger.warn(
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRevocation.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionRevocation.java
@@ -22,7 +22,7 @@
   private static final long RETRY_MS = 200;
   private static final long POLL_INTERVAL_MS = 40;
   // Longer than a promotion takes to take effect.
-  private static final long SETTLED_AFTER_MS = 2_500;
+  private static final long SETTLED_AFTER_MS = 2_000;
   private static final long REPORT_TIMEOUT_MS = 500;
 
   private final EventLoop loop;
