Keep what is known of promotion requests in a class of its own

Cause: PromotionAttempt held counts and flags of its requests between its survey and its hold, and a hold that was not complete in time let replicas receive and paused them again at once: a RESUME that arrives behind the next PAUSE would undo it.

--- a/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/DurableChoiceTest.java
@@ -209,7 +209,6 @@
     assertThat(choice.choose(nowNanos)).isSameAs(behind);
   }
 
-  /** Random logs; a commit is acknowledged if enough replicas have it. */
   /** Guards against requests for two targets that may both be carried out. */
   @Test
   void targetThatIsNotPausedIsChosenAmongEquals() {
@@ -226,6 +225,7 @@
     }
   }
 
+  /** Random logs; a commit is acknowledged if enough replicas have it. */
   @Property(tries = 1_000, seed = "39")
   void chosenTargetHasAllAcknowledgedCommits(
       @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 20) Integer> logs,
--- a/core/src/test/java/io/hickorydrift/core/promotion/ReplicaHoldTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/ReplicaHoldTest.java
@@ -10,6 +10,7 @@
 import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.core.store.StorePosition;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -148,7 +149,7 @@
           hold.report(replicas.get(i), report(received[i], paused[i]), now, now);
       }
       long[] sorted = received.clone();
-      java.util.Arrays.sort(sorted);
+      Arrays.sort(sorted);
       acknowledged = Math.max(acknowledged, sorted[sorted.length - syncReplicas]);
       mayBeRequested |= hold.isComplete(others, needed);
       if (mayBeRequested) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -76,10 +76,7 @@
   private long newestTerm;
   private boolean requested;
   private boolean chosenRequested;
-  private int requestsInFlight;
-  private boolean accepted;
-  // Whether a request may be carried out that was accepted or not answered.
-  private boolean outcomeUnknown;
+  private RequestOutcomes outcomes = new RequestOutcomes();
   // Whether replicas were paused before this attempt paused any.
   private boolean foundPaused;
   private boolean hasPaused;
@@ -142,7 +139,7 @@
    * the end of the attempt.
    */
   boolean leavesRequest() {
-    return requestsInFlight > 0 || outcomeUnknown || foundPaused;
+    return outcomes.mayTakeEffect() || foundPaused;
   }
 
   /** Returns whether the attempt has replaced the primary, so that older requests are refused. */
@@ -312,7 +309,7 @@
     held.pauseDue(others, needed);
     if (chosenRequested) {
       // The sooner a request without an answer is revoked, the sooner the replicas receive again.
-      if (!accepted) {
+      if (!outcomes.isAccepted()) {
         endIfReachable();
       }
       return;
@@ -323,9 +320,7 @@
     if (held.hold().isComplete(others, needed)) {
       requestPromotion();
     } else if (elapsedMs(chosenNanos) > HOLD_TIMEOUT_MS) {
-      logSurvey("hold incomplete");
-      releaseHold();
-      chosen = null;
+      endIncomplete();
     }
   }
 
@@ -344,9 +339,7 @@
 
   /** Records that the chosen target is the primary: requests under older fences are refused. */
   private void recordSuccess() {
-    accepted = false;
-    outcomeUnknown = false;
-    requestsInFlight = 0;
+    outcomes = new RequestOutcomes();
     foundPaused = false;
   }
 
@@ -450,29 +443,28 @@
         elapsedMs(startedNanos));
     requested = true;
     chosenRequested = true;
-    requestsInFlight++;
-    TargetState target = chosen;
+    RequestOutcomes sent = outcomes;
+    sent.recordSent();
     promotionClient.requestPromotion(
         group.name(),
-        target.entry().id(),
+        chosen.entry().id(),
         self,
         lease.fence(),
-        result -> onPromotionResult(target, result));
+        result -> {
+          sent.recordAnswer(result);
+          onPromotionResult(sent, result);
+        });
   }
 
-  private void onPromotionResult(TargetState target, PromotionClient.Result result) {
+  private void onPromotionResult(RequestOutcomes sent, PromotionClient.Result result) {
     Logger.info(
-        "event=promotion_answered group={} target={} fence={} result={}",
+        "event=promotion_answered group={} fence={} result={}",
         group.name(),
-        target.entry().id(),
         lease.fence(),
         result);
-    if (ended || target != chosen) {
+    if (ended || sent != outcomes) {
       return;
     }
-    requestsInFlight--;
-    accepted |= result == PromotionClient.Result.ACCEPTED;
-    outcomeUnknown |= accepted || result == PromotionClient.Result.UNKNOWN;
     if (result == PromotionClient.Result.REFUSED) {
       // The platform does not tell a low fence from a target that is not running.
       Logger.warn(
