Refuse a replacement connection that opens at a draining pool

Cause: reading the diff; a connection opened in place of another one was handed to its write although the target had begun to leave meanwhile. Change: it is closed and the write searches on, as for other connections.

--- a/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
+++ b/core/src/main/java/io/hickorydrift/core/answer/AnswerMatcher.java
@@ -247,6 +247,7 @@
     return accept(ready);
   }
 
+  /** Returns whether all rows are those of the read itself; others are a sign of repeats. */
   private boolean areRowsOfRead() {
     boolean own = !beginsAgain() && !mayBeginWithEarlierRow();
     if (!own) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPool.java
@@ -381,15 +381,18 @@
     attempts.succeeded();
     dispatch.givePlaceBack(connection);
     AcquireListener replaced = replacements.remove(connection);
+    if (draining) {
+      connection.close("pool is draining");
+      if (replaced != null) {
+        replaced.refused("pool is draining");
+      }
+      return;
+    }
     if (replaced != null) {
       replaced.acquired(connection);
       serveWaiting();
       return;
     }
-    if (draining) {
-      connection.close("pool is draining");
-      return;
-    }
     // Goes to its organisation in any case: to close it unused would waste the time of opening it.
     handOver(connection);
     serveWaiting();
