Replace the primary of a group whose replicas cannot be paused

Cause: since a promotion in a group with syncReplicas is requested once other replicas have confirmed that they are paused. A replica that answers PAUSE as a command that it does not know counted as one that had not answered, so that each attempt ended after 2.5 s and the next began in the same way. Callers heard "no primary" for 20 s and more. Change: such replicas are left out of the hold and named in event=replica_cannot_pause. Commits of their group have no protection after the request, as before.

--- a/core/src/main/java/io/hickorydrift/core/promotion/ReplicaHold.java
+++ b/core/src/main/java/io/hickorydrift/core/promotion/ReplicaHold.java
@@ -8,9 +8,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Decides which replicas are paused before the promotion of a candidate is requested, and when it
@@ -21,7 +23,8 @@
  * beside the candidate are paused, no commit is acknowledged that the candidate lacks, through
  * whichever instance it was sent. Those acknowledged before are in its log once it reaches the logs
  * of the paused replicas: of the k that have a commit, at most k - 1 are neither paused nor the
- * candidate.
+ * candidate. Replicas that do not know how to pause are left out: commits of a group of such
+ * targets are not protected, but its primary is replaced.
  *
  * <p>Invariant: the candidate's log is compared as of a query that was sent after the last replica
  * had confirmed that it is paused. Thread safety: confined to one thread.
@@ -33,6 +36,7 @@
   private final TargetState candidate;
   private final Map<TargetState, Paused> paused = new LinkedHashMap<>();
   private final Map<TargetState, Integer> unanswered = new HashMap<>();
+  private final Set<TargetState> unsupported = new HashSet<>();
   private Position candidateReceived;
   private long candidateQueriedNanos;
   private boolean candidateReported;
@@ -77,6 +81,11 @@
     unanswered.merge(target, 1, Integer::sum);
   }
 
+  /** Records that {@code target} does not know how to pause. */
+  public void recordUnsupported(TargetState target) {
+    unsupported.add(target);
+  }
+
   /** Returns the term with which replicas are to be paused. */
   public long pauseTerm() {
     return newestTerm + 1;
@@ -96,7 +105,7 @@
   public List<TargetState> due(Collection<TargetState> others, int needed) {
     paused.keySet().retainAll(others);
     List<TargetState> due = new ArrayList<>(others);
-    due.removeIf(paused::containsKey);
+    due.removeIf(each -> paused.containsKey(each) || unsupported.contains(each));
     due.sort(Comparator.comparingInt(each -> unanswered.getOrDefault(each, 0)));
     int count = Math.max(0, needed - paused.size());
     return due.subList(0, Math.min(count, due.size()));
@@ -105,7 +114,8 @@
   /** Returns whether the candidate has, and will have, all commits that are acknowledged. */
   public boolean isComplete(Collection<TargetState> others, int needed) {
     paused.keySet().retainAll(others);
-    if (paused.size() < needed) {
+    long supporting = others.stream().filter(each -> !unsupported.contains(each)).count();
+    if (paused.size() < Math.min(needed, supporting)) {
       return false;
     }
     for (Paused each : paused.values()) {
--- a/core/src/test/java/io/hickorydrift/core/promotion/ReplicaHoldTest.java
+++ b/core/src/test/java/io/hickorydrift/core/promotion/ReplicaHoldTest.java
@@ -84,6 +84,21 @@
     assertThat(hold.due(List.of(other), 1)).containsExactly(other);
   }
 
+  @Test
+  void replicaThatCannotPauseIsNotAwaited() {
+    final TargetState candidate = replica();
+    final TargetState unsupported = replica();
+    final TargetState other = replica();
+    List<TargetState> others = List.of(unsupported, other);
+    ReplicaHold hold = new ReplicaHold(candidate, TERM);
+    hold.recordUnsupported(unsupported);
+    assertThat(hold.due(others, 2)).containsExactly(other);
+    assertThat(hold.isComplete(others, 2)).isFalse();
+    hold.report(other, report(9, true), 1, 2);
+    hold.report(candidate, report(9, false), 3, 4);
+    assertThat(hold.isComplete(others, 2)).isTrue();
+  }
+
   @Test
   void onlyAsManyArePausedAsLetCommitsBeAcknowledged() {
     final TargetState candidate = replica();
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/HeldReplicas.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/HeldReplicas.java
@@ -76,22 +76,37 @@
         replica,
         new TargetCommand.Pause(hold.pauseTerm()),
         TIMEOUT_MS,
-        report -> {
-          sent.outstanding--;
-          log("replica_paused", group, replica, report);
-          if (report == null) {
-            hold.recordUnanswered(replica);
-          } else {
-            hold.report(replica, report, sentNanos, loop.nowNanos());
+        new ReportListener() {
+          @Override
+          public void answered(TargetReport report) {
+            sent.outstanding--;
+            log("replica_paused", group, replica, report);
+            onPauseAnswered(replica, report, sentNanos);
           }
-          if (resumed) {
-            resume(queries, group, replica);
-          } else if (report != null && !ended) {
-            onPaused.run();
+
+          @Override
+          public void unsupported() {
+            sent.outstanding--;
+            Logger.warn(
+                "event=replica_cannot_pause group={} target={}", group, replica.entry().id());
+            hold.recordUnsupported(replica);
           }
         });
   }
 
+  private void onPauseAnswered(TargetState replica, TargetReport report, long sentNanos) {
+    if (report == null) {
+      hold.recordUnanswered(replica);
+    } else {
+      hold.report(replica, report, sentNanos, loop.nowNanos());
+    }
+    if (resumed) {
+      resume(queries, group, replica);
+    } else if (report != null && !ended) {
+      onPaused.run();
+    }
+  }
+
   /** Pauses no further replica and leaves the others as they are. */
   void end() {
     ended = true;
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PositionQueries.java
@@ -3,7 +3,6 @@
 import io.hickorydrift.core.directory.TargetState;
 import io.hickorydrift.core.message.Position;
 import io.hickorydrift.core.statement.TargetCommand;
-import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,23 +37,19 @@
         report -> onPosition.accept(report == null ? null : report.received()));
   }
 
-  /**
-   * Sends a command that is answered with a report; {@code onReport} gets null if there is none
-   * within {@code timeoutMs}.
-   */
-  void request(
-      TargetState target, TargetCommand command, long timeoutMs, Consumer<TargetReport> onReport) {
+  /** Sends a command that is answered with a report within {@code timeoutMs}. */
+  void request(TargetState target, TargetCommand command, long timeoutMs, ReportListener answer) {
     long deadlineNanos = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     AcquireListener listener =
         new AcquireListener() {
           @Override
           public void acquired(TargetConnection connection) {
-            pools.requestCurrentReport(connection, command, deadlineNanos, onReport);
+            pools.requestCurrentReport(connection, command, deadlineNanos, answer);
           }
 
           @Override
           public void refused(String reason) {
-            onReport.accept(null);
+            answer.answered(null);
           }
         };
     pools.poolForSurvey(target).acquireAny(declarations.anyOrganisation(), deadlineNanos, listener);
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -265,10 +265,7 @@
     if (candidate != null) {
       logSurvey("chosen");
       if (durableSurvey.choice().choose(loop.nowNanos()) == null) {
-        Logger.warn(
-            "event=promotion_may_lose_commits group={} waited_ms={}",
-            group.name(),
-            elapsedMs(need.sinceNanos()));
+        logPossibleLoss();
         choose(candidate, durableSurvey.choice().receivedBy(candidate, loop.nowNanos()));
         requestPromotion();
         return;
@@ -320,10 +317,22 @@
     if (held.hold().isComplete(others, needed)) {
       requestPromotion();
     } else if (elapsedMs(chosenNanos) > HOLD_TIMEOUT_MS) {
-      endIncomplete();
+      if (isDurableWaitOver(durableSurvey.choice())) {
+        logPossibleLoss();
+        requestPromotion();
+      } else {
+        endIncomplete();
+      }
     }
   }
 
+  private void logPossibleLoss() {
+    Logger.warn(
+        "event=promotion_may_lose_commits group={} waited_ms={}",
+        group.name(),
+        elapsedMs(need.sinceNanos()));
+  }
+
   /** Lets the replicas receive again, unless a request may still be carried out. */
   private void releaseHold() {
     if (held == null) {
--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/TargetPools.java
@@ -2,6 +2,7 @@
 
 import io.hickorydrift.core.directory.ReadPlacement;
 import io.hickorydrift.core.directory.TargetState;
+import io.hickorydrift.core.statement.FailureCode;
 import io.hickorydrift.core.statement.TargetCommand;
 import io.hickorydrift.core.statement.TargetReport;
 import io.hickorydrift.proxy.net.EventLoop;
@@ -124,7 +125,7 @@
       TargetConnection connection,
       TargetCommand command,
       long deadlineNanos,
-      Consumer<TargetReport> onReport) {
+      ReportListener listener) {
     connection.run(
         command,
         deadlineNanos,
@@ -134,7 +135,11 @@
             connection.close("report may be an earlier one");
           }
           connection.pool().release(connection);
-          onReport.accept(outdated ? null : decodeReport(reply));
+          if (!outdated && reply.failedFor(FailureCode.MALFORMED)) {
+            listener.unsupported();
+          } else {
+            listener.answered(outdated ? null : decodeReport(reply));
+          }
         });
   }
 
