Wait for reports when the bound of a change of primary is over

Cause: 20 s after the need for a promotion began, each new attempt took the most advanced log of the reports there were, as soon as there was one: the replica that answers first, which may be the one that receives nothing. Change: reports are awaited for 1 s in each attempt before the bound applies. The primary comes up to 1 s later then.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/PromotionAttempt.java
@@ -48,6 +48,8 @@
   // A leaving primary that is reachable reports by then; a replica that stays has to reach its log.
   private static final long PRIMARY_REPORT_MS = 500;
   private static final long HOLD_TIMEOUT_MS = 2_500;
+  // Slow targets report by then, so that the most advanced of several is taken after the bound.
+  private static final long REPORTS_MS = 1_000;
   // By then a replica that another instance reaches should be surveyed by that one.
   private static final long SURVEY_TURN_MS = 2_500;
 
@@ -362,7 +364,8 @@
       return null;
     }
     TargetState candidate = choice.choose(nowNanos);
-    return candidate == null && isDurableWaitOver(choice)
+    boolean reportsAwaited = elapsedMs(startedNanos) > REPORTS_MS;
+    return candidate == null && reportsAwaited && isDurableWaitOver(choice)
         ? choice.mostAdvanced(nowNanos)
         : candidate;
   }
