Do not start a read at the primary once it has been answered

What callers saw: nothing directly; a target ran a read under values that its session had set after the read's answer (rule PINNED), and held a slot for it. Cause: a hedged read whose last resort is the primary begins a transaction there first. While the begin is under way, another attempt may answer the read, and the caller may set a value. The read was sent all the same, with the values of that moment. Change: once the read is answered, the transaction is rolled back.

--- a/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
+++ b/proxy/src/main/java/io/hickorydrift/proxy/gateway/ReadExecution.java
@@ -111,7 +111,10 @@
         new TargetCommand.Begin(false, null),
         deadlineNanos,
         reply -> {
-          if (reply.ok() && !context.evacuations().isClosedTo(connection.target())) {
+          if (completed) {
+            // The session's values may have changed since the read was answered.
+            release(connection, reply.ok());
+          } else if (reply.ok() && !context.evacuations().isClosedTo(connection.target())) {
             context.recordPrimaryPosition(context.directory().group(route.group()), reply);
             context.warmUps().move(connection.target(), takenNanos);
             read(connection, null, true);
@@ -145,18 +148,24 @@
           attemptsInFlight--;
           target.recordAnswered(context.loop().nowNanos() - reply.sentNanos());
           attempt.record(reply);
-          if (inTransaction && !reply.lost() && !context.evacuations().isClosedTo(target)) {
-            connection.run(
-                new TargetCommand.Rollback(),
-                context.loop().nowNanos() + ROLLBACK_TIMEOUT_NANOS,
-                rollbackReply -> context.pool(target).release(connection));
-          } else {
-            context.pool(target).release(connection);
-          }
+          release(connection, inTransaction && !reply.lost());
           answered(target, reply);
         });
   }
 
+  /** Releases {@code connection}, after a rollback if it is in a transaction. */
+  private void release(TargetConnection connection, boolean inTransaction) {
+    TargetPool pool = context.pool(connection.target());
+    if (inTransaction && !context.evacuations().isClosedTo(connection.target())) {
+      connection.run(
+          new TargetCommand.Rollback(),
+          context.loop().nowNanos() + ROLLBACK_TIMEOUT_NANOS,
+          reply -> pool.release(connection));
+    } else {
+      pool.release(connection);
+    }
+  }
+
   /** One attempt at a target. */
   private final class Attempt {
     private final TargetState target;
